--- a/Makefile
+++ b/Makefile
@@ -15,18 +15,18 @@
 	go test ./...
 
 check: build
-	@test -z "$$(gofmt -l api cmd internal)" || { echo "gofmt would change:"; gofmt -l api cmd internal; exit 1; }
+	@test -z "$$(gofmt -l api cmd internal platform)" || { echo "gofmt would change:"; gofmt -l api cmd internal platform; exit 1; }
 	@for patch in scripts/proof/*.patch scripts/weigh/*.patch; do git apply --check $$patch || { echo "$$patch no longer applies"; exit 1; }; done
 	go vet ./...
 	go tool staticcheck ./...
-	go tool revive -config revive.toml -set_exit_status ./cmd/... ./internal/...
+	go tool revive -config revive.toml -set_exit_status ./cmd/... ./internal/... ./platform/...
 	$(MAKE) test
 
 # generate needs protoc; its result is committed, so that no build needs it.
 generate:
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=github.com/doorstep/doorstep api/doorstep/v1/doorstep.proto
+	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=github.com/doorstep/doorstep api/doorstep/v1/doorstep.proto api/doorstep/v1/batch.proto
 
 clean:
 	rm -rf $(BIN)
--- a/internal/command/daemoncli/daemoncli.go
+++ b/internal/command/daemoncli/daemoncli.go
@@ -10,10 +10,11 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
 	"github.com/doorstep/doorstep/internal/command"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/agent"
 	"github.com/doorstep/doorstep/internal/process/daemon"
 	"github.com/doorstep/doorstep/internal/process/settings"
 )
@@ -34,9 +35,20 @@
 // garbagePercent is how much the heap may grow between two collections.
 const garbagePercent = 40
 
+// Platform is what a deployment's platform provides to a node that shares its state
+// through a record store.
+type Platform struct {
+	// SettingsFile returns the settings file that the platform prepared, if any.
+	SettingsFile func() string
+	// Protocol is the form of its calls.
+	Protocol agent.Protocol
+	// NewStore returns a client of the record store at host:port.
+	NewStore func(address string) port.RecordStore
+}
+
 // Main runs doorstepd and returns its exit code.
-func Main(arguments []string) int {
-	return command.Run(context.Background(), root(), arguments, os.Stderr)
+func Main(arguments []string, platform Platform) int {
+	return command.Run(context.Background(), root(platform), arguments, os.Stderr)
 }
 
 func flags() []cli.Flag {
@@ -47,30 +59,47 @@
 	return list
 }
 
-func root() *cli.Command {
+func root(platform Platform) *cli.Command {
+	nodes := &nodeCommand{platform: platform}
 	return &cli.Command{
 		Name:        "doorstepd",
 		Usage:       "one node of the doorstep rollout service",
 		Description: "Runs until SIGTERM or SIGINT, then stops in the planned way: nothing is cut.\nA second signal ends it at once.",
 		Flags:       flags(),
-		Action:      serve,
+		Action:      nodes.serve,
 		Commands: []*cli.Command{{
 			Name:   "check-settings",
 			Usage:  "check a settings file and exit",
 			Flags:  flags(),
-			Action: check,
+			Action: nodes.check,
 		}},
 	}
 }
 
-func load(c *cli.Command) (*settings.Settings, error) {
-	if c.String("settings") == "" {
-		return nil, command.Fail(command.ExitUsage, errors.New("--settings FILE is required; see --help"))
+// nodeCommand holds what the subcommands share.
+type nodeCommand struct{ platform Platform }
+
+// read returns the path and content of the settings file.
+func (n *nodeCommand) read(c *cli.Command) (path string, content []byte, err error) {
+	path = c.String("settings")
+	if path == "" && n.platform.SettingsFile != nil {
+		path = n.platform.SettingsFile()
 	}
-	content, err := os.ReadFile(c.String("settings"))
+	if path == "" {
+		return "", nil, command.Fail(command.ExitUsage, errors.New("--settings FILE is required; see --help"))
+	}
+	content, err = os.ReadFile(path)
 	if err != nil {
-		return nil, command.Fail(command.ExitUsage, err)
+		return "", nil, command.Fail(command.ExitUsage, err)
 	}
+	return path, content, nil
+}
+
+func faulty(path string, err error) error {
+	return command.Fail(command.ExitUsage, fmt.Errorf("settings %s:\n%w", path, err))
+}
+
+func load(c *cli.Command, path string, content []byte) (*settings.Settings, error) {
 	overrides := map[string]any{}
 	for _, one := range overridable {
 		if c.IsSet(one.flag) {
@@ -79,13 +108,25 @@
 	}
 	loaded, err := settings.Load(content, overrides)
 	if err != nil {
-		return nil, command.Fail(command.ExitUsage, fmt.Errorf("settings %s:\n%w", c.String("settings"), err))
+		return nil, faulty(path, err)
 	}
 	return loaded, nil
 }
 
-func check(_ context.Context, c *cli.Command) error {
-	loaded, err := load(c)
+func (n *nodeCommand) check(_ context.Context, c *cli.Command) error {
+	path, content, err := n.read(c)
+	if err != nil {
+		return err
+	}
+	if settings.IsCluster(content) {
+		loaded, err := settings.LoadCluster(content)
+		if err != nil {
+			return faulty(path, err)
+		}
+		_, err = fmt.Fprintf(c.Root().Writer, "settings of %s are in order\n", loaded)
+		return err
+	}
+	loaded, err := load(c, path, content)
 	if err != nil {
 		return err
 	}
@@ -93,23 +134,48 @@
 	return err
 }
 
-func serve(ctx context.Context, c *cli.Command) error {
-	loaded, err := load(c)
+func (n *nodeCommand) serve(ctx context.Context, c *cli.Command) error {
+	path, content, err := n.read(c)
 	if err != nil {
 		return err
 	}
+	if settings.IsCluster(content) {
+		return n.serveCluster(ctx, path, content)
+	}
+	loaded, err := load(c, path, content)
+	if err != nil {
+		return err
+	}
+	return serveRoster(ctx, loaded)
+}
+
+// serveRoster runs a node of a fixed roster.
+func serveRoster(ctx context.Context, loaded *settings.Settings) error {
 	// A node's heap is a few megabytes and its machine small: collecting early costs
 	// little processor time and keeps the resident size within the budget.
 	debug.SetGCPercent(garbagePercent)
-	level := hclog.LevelFromString(loaded.Log.Level)
-	if level == hclog.NoLevel {
-		level = hclog.Info
+	log := newLogger(loaded.Name, loaded.Log, os.Stderr)
+	stopping, hurrying, release := stopSignals(ctx)
+	defer release()
+	if err := daemon.Run(stopping, hurrying, loaded, log); err != nil {
+		return command.Fail(command.ExitFailed, err)
+	}
+	return endedInHurry(hurrying)
+}
+
+// endedInHurry is the failure of a node that a second signal ended.
+func endedInHurry(hurrying context.Context) error {
+	if errors.Is(hurrying.Err(), context.Canceled) {
+		return command.Fail(command.ExitFailed, errors.New("ended at once on a second signal"))
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: "doorstepd." + loaded.Name, Level: level, JSONFormat: loaded.Log.JSON, Output: os.Stderr})
+	return nil
+}
+
+// stopSignals returns a context that ends with the first signal to stop, and one that
+// ends with the second.
+func stopSignals(ctx context.Context) (stopping, hurrying context.Context, release func()) {
 	stopping, stop := context.WithCancel(ctx)
-	defer stop()
 	hurrying, hurry := context.WithCancel(ctx)
-	defer hurry()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -118,11 +184,8 @@
 		<-signals
 		hurry()
 	}()
-	if err := daemon.Run(stopping, hurrying, loaded, log); err != nil {
-		return command.Fail(command.ExitFailed, err)
-	}
-	if errors.Is(hurrying.Err(), context.Canceled) {
-		return command.Fail(command.ExitFailed, errors.New("ended at once on a second signal"))
+	return stopping, hurrying, func() {
+		stop()
+		hurry()
 	}
-	return nil
 }
--- a/internal/command/daemoncli/daemoncli_test.go
+++ b/internal/command/daemoncli/daemoncli_test.go
@@ -30,7 +30,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			if code := Main(append([]string{"doorstepd"}, c.arguments...)); code != c.code {
+			if code := Main(append([]string{"doorstepd"}, c.arguments...), Platform{}); code != c.code {
 				t.Errorf("exit code %d, should be %d", code, c.code)
 			}
 		})
--- /dev/null
+++ b/internal/port/deployment.go
@@ -0,0 +1,148 @@
+package port
+
+import "time"
+
+// RouteKind says what may be done with a request of a route.
+type RouteKind string
+
+const (
+	// RouteIdempotent requests may run more than once.
+	RouteIdempotent RouteKind = "idempotent"
+	// RouteNonIdempotent requests run at most once.
+	RouteNonIdempotent RouteKind = "non-idempotent"
+	// RouteStreaming requests are answered by a series of events.
+	RouteStreaming RouteKind = "streaming"
+	// RouteBatch takes batch jobs.
+	RouteBatch RouteKind = "batch"
+)
+
+// Backend is one part of a route's traffic.
+type Backend struct {
+	Service string
+	// Weight is the part's share, relative to the sum of all weights.
+	Weight float64
+}
+
+// Route says where requests of a host and path prefix go.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       RouteKind
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// Objective is the time within which an answer is of full worth.
+	Objective time.Duration
+	// Backends has at least one entry.
+	Backends []Backend
+	// MaxAttempts bounds the replicas that one request may be sent to.
+	MaxAttempts int
+	// Resumable streams may be continued at another replica.
+	Resumable bool
+	// SingleVersion demands that one version makes a whole result.
+	SingleVersion bool
+	// MaxQueue is the age at which an item of a batch job may be given up.
+	MaxQueue time.Duration
+	// ResultDeadline is the age at which a batch job's results are due.
+	ResultDeadline time.Duration
+}
+
+// Service is a set of replicas that serve alike.
+type Service struct {
+	Name string
+	// ConnectionLimit bounds the connections to one replica, of all nodes together.
+	ConnectionLimit int
+	// Models are those that its replicas hold.
+	Models []string
+}
+
+// IngressLimits bound what a client may send.
+type IngressLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the reading of a head, IdleTimeout the time between
+	// two requests of a connection.
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// RouteTable is one version of the operators' configuration, whole.
+type RouteTable struct {
+	// Version rises with every change.
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   IngressLimits
+}
+
+// ReplicaRecord is what a replica says of itself in the store.
+type ReplicaRecord struct {
+	// ID is this incarnation's, found nowhere else.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Draining replicas get no new work.
+	Draining bool
+	// Versions are the weights it holds, by model.
+	Versions map[string]int64
+}
+
+// VersionTarget is the newest version that was named for a model.
+type VersionTarget struct {
+	Model   string
+	Version int64
+}
+
+// Deployment is a change of what the platform's store says of its surroundings.
+// Fields that are nil did not change.
+type Deployment struct {
+	Routes *RouteTable
+	// Replicas are new or changed, Gone are the IDs of those that left.
+	Replicas []ReplicaRecord
+	Gone     []string
+	Targets  []VersionTarget
+}
+
+// OrderVersion asks a replica to load a version of a model.
+type OrderVersion struct {
+	// Replica and Address say to whom.
+	Replica, Address string
+	Model            string
+	Version          int64
+	// Holder and Fence are the order lease's.
+	Holder string
+	Fence  int64
+	// ExpectedSequence is the count of orders that the replica must have taken.
+	ExpectedSequence int64
+}
+
+// VersionOrderStatus is the outcome of an OrderVersion.
+type VersionOrderStatus int
+
+const (
+	// VersionOrderUnknown means that no answer came: it may be carried out later.
+	VersionOrderUnknown VersionOrderStatus = iota
+	// VersionOrderAccepted means that the load is under way.
+	VersionOrderAccepted
+	// VersionOrderHeld means that the replica has that version already.
+	VersionOrderHeld
+	// VersionOrderConflict means that another order is under way or was taken.
+	VersionOrderConflict
+	// VersionOrderFenced means that a newer holder has given orders.
+	VersionOrderFenced
+	// VersionOrderRefused means that the replica is another one or refuses.
+	VersionOrderRefused
+)
+
+// ReplicaReport is what a replica says of itself when asked.
+type ReplicaReport struct {
+	OK bool
+	// Loading says that an order is under way.
+	Loading bool
+	// Sequence counts the orders taken in this life.
+	Sequence int64
+	Versions map[string]int64
+	Running  int
+	Queued   int
+}
--- /dev/null
+++ b/internal/process/agent/forward.go
@@ -0,0 +1,264 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/connection/upstream"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/request/relay"
+)
+
+// answerBytes bounds an answer that is held whole.
+const answerBytes = 64 << 20
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// attempt is one try of a request at a replica.
+type attempt struct {
+	endpoint *endpoint.Endpoint
+	outcome  relay.Outcome
+	status   int
+	header   http.Header
+	body     []byte
+	err      error
+}
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	agent    *Agent
+	request  *http.Request
+	route    *port.Route
+	id       string
+	body     []byte
+	relay    *relay.Relay
+	exclude  map[string]bool
+	attempts chan *attempt
+	launched int
+	started  time.Time
+}
+
+func (a *Agent) newExchange(r *http.Request, route *port.Route, id string, body []byte) *exchange {
+	now := time.Now()
+	wait, _ := a.protocol.Deadline(r.Header)
+	return &exchange{
+		agent: a, request: r, route: route, id: id, body: body, relay: relay.New(now, route, wait),
+		exclude: map[string]bool{}, attempts: make(chan *attempt, max(route.MaxAttempts, 1)), started: now,
+	}
+}
+
+// forward relays a request whose answer is one body.
+func (a *Agent) forward(w http.ResponseWriter, r *http.Request, route *port.Route, id string, body []byte) {
+	x := a.newExchange(r, route, id, body)
+	ctx, cancel := context.WithDeadline(r.Context(), x.relay.Deadline())
+	defer cancel()
+	var last *attempt
+	for {
+		now := time.Now()
+		decision := x.relay.Next(now)
+		switch decision.Action {
+		case relay.Launch:
+			x.launch(ctx, now)
+		case relay.Wait:
+			ended := x.wait(r.Context(), decision.Until)
+			if r.Context().Err() != nil {
+				a.log.add(event.RequestRefused, "request", id, "reason", "the caller left")
+				return
+			}
+			if ended != nil && (ended.outcome == relay.Answered || ended.outcome == relay.Errored) {
+				last = ended
+			}
+		case relay.Deliver:
+			x.deliver(w, last)
+			return
+		case relay.Fail:
+			a.refuse(w, id, decision.Status, decision.RetryAfter, decision.Reason)
+			return
+		}
+	}
+}
+
+// launch sends the next attempt, if there is a replica for it.
+func (x *exchange) launch(ctx context.Context, now time.Time) {
+	chosen := x.choose()
+	if chosen == nil {
+		x.relay.NoEndpoint()
+		return
+	}
+	x.relay.Launched(now)
+	x.launched++
+	left := x.relay.Left(now)
+	go func() { x.attempts <- x.try(ctx, chosen, left) }()
+}
+
+func (x *exchange) choose() *endpoint.Endpoint {
+	var chosen *endpoint.Endpoint
+	x.agent.do(func(now time.Time) {
+		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
+		if chosen != nil {
+			chosen.InFlight++
+			chosen.UsedAt = now
+			x.exclude[chosen.ID] = true
+		}
+	})
+	return chosen
+}
+
+// wait returns the attempt that ended, or nil at the time given.
+func (x *exchange) wait(ctx context.Context, until time.Time) *attempt {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case ended := <-x.attempts:
+		x.relay.Ended(ended.outcome)
+		if ended.outcome == relay.Broken || ended.outcome == relay.NotRun {
+			x.agent.log.add(event.AttemptEnded, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status, "outcome", int(ended.outcome),
+				"error", errorText(ended.err))
+		}
+		return ended
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// try sends the request to a replica and reads the whole answer.
+func (x *exchange) try(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
+	startedAt := time.Now()
+	ended := x.send(ctx, chosen, left)
+	x.agent.metrics.attempt(ended.outcome)
+	x.agent.do(func(now time.Time) {
+		chosen.InFlight--
+		if running, waiting, _, ok := x.agent.protocol.Load(ended.header); ok {
+			chosen.LearnLoad(now, running, waiting)
+		}
+		x.account(now, ended, now.Sub(startedAt), ctx.Err() != nil)
+	})
+	return ended
+}
+
+// account tells the endpoint how the attempt fared. An attempt that was cancelled says
+// nothing of the replica.
+func (x *exchange) account(now time.Time, ended *attempt, took time.Duration, cancelled bool) {
+	switch ended.outcome {
+	case relay.Answered:
+		ended.endpoint.Succeeded(took)
+	case relay.Errored, relay.Broken:
+		if !cancelled && ended.endpoint.Failed(now) {
+			x.agent.log.add(event.ReplicaEjected, "replica", ended.endpoint.ID, "after_ms", took.Milliseconds())
+		}
+	case relay.NotRun:
+		if ended.err == nil {
+			ended.endpoint.Busy(now)
+		} else if !cancelled {
+			ended.endpoint.Failed(now)
+		}
+	}
+}
+
+func (x *exchange) send(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
+	ended := &attempt{endpoint: chosen}
+	answer, err := x.agent.upstream.Do(ctx, x.call(chosen, left))
+	if err != nil {
+		ended.err = err
+		ended.outcome = failedOutcome(err)
+		return ended
+	}
+	defer answer.Close()
+	ended.status, ended.header = answer.Status, answer.Header
+	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, answerBytes))
+	ended.outcome = x.outcome(ended)
+	return ended
+}
+
+func (x *exchange) call(chosen *endpoint.Endpoint, left time.Duration) *upstream.Call {
+	header := x.request.Header.Clone()
+	dropConnectionHeaders(header)
+	x.agent.protocol.Address(header, chosen.ID, left)
+	return &upstream.Call{
+		Address: chosen.Address, Method: x.request.Method, Target: target(x.request), Host: x.request.Host,
+		Header: header, Body: x.body, ID: x.id, IDOf: x.agent.protocol.RequestID,
+	}
+}
+
+// target returns the path and query as the caller sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// dropConnectionHeaders removes what concerns one connection only, also the fields
+// that the Connection field names.
+func dropConnectionHeaders(header http.Header) {
+	for _, named := range header.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+func failedOutcome(err error) relay.Outcome {
+	var failed *upstream.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		return relay.NotRun
+	}
+	return relay.Broken
+}
+
+// outcome judges an answer. A success that no replica signed is none.
+func (x *exchange) outcome(ended *attempt) relay.Outcome {
+	switch {
+	case x.agent.protocol.NotExecuted(ended.status, ended.header):
+		return relay.NotRun
+	case ended.err != nil:
+		return relay.Broken
+	case ended.status < http.StatusMultipleChoices && !x.agent.protocol.Stamped(ended.header):
+		return relay.Broken
+	case ended.status >= http.StatusInternalServerError:
+		return relay.Errored
+	}
+	return relay.Answered
+}
+
+// deliver passes a replica's whole answer on.
+func (x *exchange) deliver(w http.ResponseWriter, ended *attempt) {
+	copyAnswerHeaders(w.Header(), ended.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(ended.body)))
+	w.WriteHeader(ended.status)
+	_, _ = w.Write(ended.body)
+	took := time.Since(x.started)
+	x.agent.metrics.answer(x.route, ended.status, took)
+	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status,
+		"attempts", x.launched, "took_ms", took.Milliseconds())
+}
+
+func copyAnswerHeaders(to, from http.Header) {
+	kept := from.Clone()
+	dropConnectionHeaders(kept)
+	for name, values := range kept {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/process/agent/metrics.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/request/relay"
+	"github.com/doorstep/doorstep/internal/version/batch"
+)
+
+// latencyBuckets are the bounds of the latency histograms, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
+
+// metrics are the process's own figures.
+type metrics struct {
+	registry   *prometheus.Registry
+	answers    *prometheus.HistogramVec
+	refusals   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	runs       *prometheus.CounterVec
+	jobs       *prometheus.CounterVec
+	storeCalls *prometheus.HistogramVec
+}
+
+func newMetrics(a *Agent) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_request_seconds",
+			Help: "Time to a replica's answer, by route and status.", Buckets: latencyBuckets}, []string{"route", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_refusals_total",
+			Help: "Answers of the node's own, by status."}, []string{"status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_attempts_total",
+			Help: "Tries at replicas, by outcome."}, []string{"outcome"}),
+		runs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_item_runs_total",
+			Help: "Runs of items of batch jobs, by outcome."}, []string{"outcome"}),
+		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_batch_jobs_total",
+			Help: "Batch jobs handed in, by outcome."}, []string{"outcome"}),
+		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_store_call_seconds",
+			Help: "Calls to the record store, by kind and outcome.", Buckets: latencyBuckets}, []string{"call", "outcome"}),
+	}
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.jobs, m.storeCalls)
+	m.registerGauges(a)
+	return m
+}
+
+func (m *metrics) registerGauges(a *Agent) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return value()
+		}))
+	}
+	gauge("doorstep_configuration_version", "Version of the configuration in force, 0 before the first.", func() float64 {
+		if a.node.Routes() == nil {
+			return 0
+		}
+		return float64(a.node.Routes().Version())
+	})
+	gauge("doorstep_ready", "1 while the node wants new connections.", func() float64 {
+		if a.node.Ready(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	gauge("doorstep_order_lease_held", "1 while the node orders versions.", func() float64 {
+		if a.node.Lease().Held(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	gauge("doorstep_batch_jobs_open", "Jobs known that are neither ended nor complete.", func() float64 {
+		open, _, _, _ := a.node.Jobs().Counts()
+		return float64(open)
+	})
+	gauge("doorstep_batch_jobs_owned", "Jobs whose items this node runs.", func() float64 {
+		_, owned, _, _ := a.node.Jobs().Counts()
+		return float64(owned)
+	})
+	gauge("doorstep_batch_items_running", "Items under way.", func() float64 {
+		_, _, running, _ := a.node.Jobs().Counts()
+		return float64(running)
+	})
+	gauge("doorstep_batch_items_waiting", "Items that wait for a replica.", func() float64 {
+		_, _, _, waiting := a.node.Jobs().Counts()
+		return float64(waiting)
+	})
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "doorstep_replica_connections_total",
+		Help: "Connections opened to replicas."}, func() float64 { return float64(a.upstream.Opened()) }))
+}
+
+func (m *metrics) answer(route *port.Route, status int, took time.Duration) {
+	m.answers.WithLabelValues(route.Name, strconv.Itoa(status)).Observe(took.Seconds())
+}
+
+func (m *metrics) refusal(status int) { m.refusals.WithLabelValues(strconv.Itoa(status)).Inc() }
+
+func (m *metrics) attempt(outcome relay.Outcome) {
+	names := map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken"}
+	m.attempts.WithLabelValues(names[outcome]).Inc()
+}
+
+func (m *metrics) run(outcome task.RunOutcome) {
+	names := map[task.RunOutcome]string{
+		task.RunCompleted: "completed", task.RunInterrupted: "interrupted", task.RunFailed: "failed",
+		task.RunImpossible: "impossible", task.RunRefused: "refused", task.RunUnreachable: "unreachable",
+	}
+	m.runs.WithLabelValues(names[outcome]).Inc()
+}
+
+func (m *metrics) accepted(outcome batch.Outcome) {
+	names := map[batch.Outcome]string{batch.Done: "accepted", batch.NotDone: "refused", batch.Unsure: "unsure"}
+	m.jobs.WithLabelValues(names[outcome]).Inc()
+}
+
+func (m *metrics) storeCall(kind string, status port.RecordStatus, took time.Duration) {
+	names := map[port.RecordStatus]string{
+		port.RecordUnknown: "unknown", port.RecordDone: "done", port.RecordConflict: "conflict",
+		port.RecordRefused: "refused", port.RecordCompacted: "compacted", port.RecordAbsent: "absent",
+	}
+	m.storeCalls.WithLabelValues(kind, names[status]).Observe(took.Seconds())
+}
+
+// serveMetrics serves the figures, if the settings name an address for them. Without
+// them the node serves on.
+func (a *Agent) serveMetrics(ctx context.Context) {
+	if a.settings.Listen.Metrics == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", a.settings.Listen.Metrics)
+	if err != nil {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(a.metrics.registry, promhttp.HandlerOpts{}))
+	server := a.newServer(mux)
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
--- /dev/null
+++ b/internal/process/agent/run.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/connection/upstream"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// firstEventWithin and nextEventWithin are how long a run may be silent.
+	firstEventWithin = 4 * time.Second
+	nextEventWithin  = 2500 * time.Millisecond
+	// controlTimeout bounds orders and reports, controlBytes their answers.
+	controlTimeout = 900 * time.Millisecond
+	controlBytes   = 1 << 20
+)
+
+// run sends an item to a replica and reads its stream to the end.
+func (a *Agent) run(ctx context.Context, t task.Run) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := a.stream(ctx, cancel, t)
+	a.metrics.run(result.Outcome)
+	a.do(func(now time.Time) {
+		delete(a.runs, t.ID)
+		t.Done(now, result)
+	})
+}
+
+func (a *Agent) stream(ctx context.Context, cancel context.CancelFunc, t task.Run) task.RunResult {
+	header := t.Header
+	a.protocol.SetRequestID(header, t.Item)
+	a.protocol.Address(header, t.Replica, t.Limit)
+	if t.After > 0 {
+		a.protocol.Resume(header, strconv.FormatInt(t.After, 10))
+	}
+	silence := time.AfterFunc(firstEventWithin, cancel)
+	defer silence.Stop()
+	startedAt := time.Now()
+	answer, err := a.upstream.Do(ctx, &upstream.Call{
+		Address: t.Address, Method: http.MethodPost, Target: t.Target, Host: t.Host, Header: header, Body: t.Body,
+		ID: t.Item, IDOf: a.protocol.RequestID,
+	})
+	if err != nil {
+		return task.RunResult{Outcome: task.RunUnreachable}
+	}
+	defer answer.Close()
+	a.learnLoad(t.Replica, answer.Header)
+	result := task.RunResult{Outcome: runOutcome(answer.Status, a.protocol.NotExecuted(answer.Status, answer.Header)), Status: answer.Status}
+	if result.Outcome != task.RunCompleted {
+		_, _ = io.Copy(io.Discard, answer)
+		return result
+	}
+	events := a.protocol.NewEventReader(answer)
+	version := a.protocol.Version(answer.Header)
+	last := t.After
+	for {
+		one, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return result
+		}
+		if err != nil || one.ID != last+1 {
+			result.Outcome = task.RunInterrupted
+			return result
+		}
+		silence.Reset(nextEventWithin)
+		if one.Version > 0 {
+			version = one.Version
+		}
+		last = one.ID
+		if len(result.Events) == 0 {
+			result.FirstEvent = time.Since(startedAt)
+		}
+		result.Events = append(result.Events, port.ReplicaEvent{ID: one.ID, Data: one.Data, Version: version})
+	}
+}
+
+func runOutcome(status int, notExecuted bool) task.RunOutcome {
+	switch {
+	case status == http.StatusOK:
+		return task.RunCompleted
+	case notExecuted:
+		return task.RunRefused
+	case status == http.StatusUnprocessableEntity:
+		return task.RunImpossible
+	case status == http.StatusGatewayTimeout:
+		return task.RunInterrupted
+	}
+	return task.RunFailed
+}
+
+func (a *Agent) learnLoad(replica string, header http.Header) {
+	running, waiting, _, ok := a.protocol.Load(header)
+	if !ok {
+		return
+	}
+	a.do(func(now time.Time) {
+		if one := a.node.Endpoints().Find(replica); one != nil {
+			one.LearnLoad(now, running, waiting)
+		}
+	})
+}
+
+// order sends a version order.
+func (a *Agent) order(t task.Order) {
+	path, body := a.protocol.EncodeOrder(t.Order)
+	status := port.VersionOrderUnknown
+	code, _, err := a.control(t.Order.Replica, t.Order.Address, http.MethodPost, path, body)
+	if err == nil {
+		status = a.protocol.DecodeOrderStatus(code)
+	}
+	a.do(func(now time.Time) { t.Done(now, status) })
+}
+
+// report asks a replica for its state.
+func (a *Agent) report(t task.Report) {
+	var report port.ReplicaReport
+	code, content, err := a.control(t.Replica, t.Address, http.MethodGet, a.protocol.ReportPath(), nil)
+	if err == nil && code == http.StatusOK {
+		report = a.protocol.DecodeReport(content)
+	}
+	a.do(func(now time.Time) { t.Done(now, report) })
+}
+
+// control makes a short call to a replica, bound to its incarnation.
+func (a *Agent) control(replica, address, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(a.base, controlTimeout)
+	defer cancel()
+	header := http.Header{}
+	a.protocol.Address(header, replica, controlTimeout)
+	if body != nil {
+		header.Set("Content-Type", "application/json")
+	}
+	answer, err := a.upstream.Do(ctx, &upstream.Call{Address: address, Method: method, Target: path, Host: address, Header: header, Body: body})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Close()
+	content, err := io.ReadAll(io.LimitReader(answer, controlBytes))
+	return answer.Status, content, err
+}
--- /dev/null
+++ b/internal/process/agent/stream.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/connection/upstream"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/request/relay"
+)
+
+// eventStream is the content type of a series of events.
+const eventStream = "text/event-stream"
+
+// relayedStream is the answer to a caller that is passed on event by event.
+type relayedStream struct {
+	*exchange
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	begun   bool
+	last    int64
+	// gone is set once the caller can't be written to.
+	gone bool
+}
+
+// forwardStream relays a series of events, which may be continued at another replica
+// where the route allows it. The head is that of the first replica.
+func (a *Agent) forwardStream(w http.ResponseWriter, r *http.Request, route *port.Route, id string, body []byte) {
+	s := &relayedStream{exchange: a.newExchange(r, route, id, body), writer: w, control: http.NewResponseController(w)}
+	s.last, _ = strconv.ParseInt(a.protocol.LastEvent(r.Header), 10, 64)
+	ctx, cancel := context.WithDeadline(r.Context(), s.relay.Deadline())
+	defer cancel()
+	for {
+		now := time.Now()
+		decision := s.relay.Next(now)
+		switch decision.Action {
+		case relay.Launch:
+			s.attempt(ctx, now)
+		case relay.Deliver:
+			return
+		case relay.Fail, relay.Wait:
+			s.fail(decision)
+			return
+		}
+		if s.gone || r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+// fail ends the answer: with a status if nothing was sent yet, else by breaking it
+// off, so that it doesn't look complete.
+func (s *relayedStream) fail(decision relay.Decision) {
+	if !s.begun {
+		s.agent.refuse(s.writer, s.id, decision.Status, decision.RetryAfter, decision.Reason)
+		return
+	}
+	s.agent.log.add(event.RequestRefused, "request", s.id, "reason", "the stream broke: "+decision.Reason, "last_event", s.last)
+	panic(http.ErrAbortHandler)
+}
+
+func (s *relayedStream) attempt(ctx context.Context, now time.Time) {
+	chosen := s.choose()
+	if chosen == nil {
+		s.relay.NoEndpoint()
+		return
+	}
+	s.relay.Launched(now)
+	s.launched++
+	outcome, err := s.pass(ctx, chosen)
+	s.relay.Ended(outcome)
+	s.agent.metrics.attempt(outcome)
+	s.agent.do(func(now time.Time) {
+		chosen.InFlight--
+		s.account(now, &attempt{endpoint: chosen, outcome: outcome, err: err}, now.Sub(s.started), ctx.Err() != nil)
+	})
+	if outcome != relay.Answered {
+		s.agent.log.add(event.AttemptEnded, "request", s.id, "replica", chosen.ID, "outcome", int(outcome), "error", errorText(err),
+			"last_event", s.last)
+	}
+}
+
+// pass sends the request to a replica and passes its events on.
+func (s *relayedStream) pass(ctx context.Context, chosen *endpoint.Endpoint) (relay.Outcome, error) {
+	call := s.call(chosen, s.relay.Left(time.Now()))
+	if s.begun {
+		s.agent.protocol.Resume(call.Header, strconv.FormatInt(s.last, 10))
+	}
+	answer, err := s.agent.upstream.Do(ctx, call)
+	if err != nil {
+		return failedOutcome(err), err
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusOK || !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) {
+		return s.passWhole(chosen, answer)
+	}
+	s.begin(answer)
+	return s.passEvents(answer)
+}
+
+// passWhole passes an answer on that is no stream, unless events were sent before.
+func (s *relayedStream) passWhole(chosen *endpoint.Endpoint, answer *upstream.Answer) (relay.Outcome, error) {
+	ended := &attempt{endpoint: chosen, status: answer.Status, header: answer.Header}
+	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, answerBytes))
+	ended.outcome = s.outcome(ended)
+	if ended.outcome == relay.NotRun || ended.outcome == relay.Broken || s.begun {
+		return ended.outcome, ended.err
+	}
+	s.deliver(s.writer, ended)
+	return relay.Answered, nil
+}
+
+func (s *relayedStream) begin(answer *upstream.Answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	copyAnswerHeaders(s.writer.Header(), answer.Header)
+	s.writer.WriteHeader(answer.Status)
+	_ = s.control.Flush()
+}
+
+func (s *relayedStream) passEvents(answer *upstream.Answer) (relay.Outcome, error) {
+	events := s.agent.protocol.NewEventReader(answer)
+	for {
+		one, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			s.agent.log.add(event.RequestAnswered, "request", s.id, "status", answer.Status, "attempts", s.launched,
+				"took_ms", time.Since(s.started).Milliseconds(), "last_event", s.last)
+			s.agent.metrics.answer(s.route, answer.Status, time.Since(s.started))
+			return relay.Answered, nil
+		}
+		if err != nil {
+			return relay.Broken, err
+		}
+		if s.last > 0 && one.ID != s.last+1 {
+			return relay.Broken, errEventMissing
+		}
+		if _, err := io.WriteString(s.writer, one.Raw); err != nil || s.control.Flush() != nil {
+			s.gone = true
+			return relay.Broken, err
+		}
+		s.last = one.ID
+	}
+}
+
+// errEventMissing says that a replica's events do not follow one another.
+var errEventMissing = errors.New("an event is missing or stands twice")
--- /dev/null
+++ b/internal/process/cluster/cluster.go
@@ -0,0 +1,319 @@
+// Package cluster composes the machines of a node that shares its state with the
+// others through the platform's record store alone. Nodes know nothing of one
+// another: each is given the same tables, and every duty has one holder by a record.
+//
+// Nothing here does I/O or reads a clock. The daemon and the simulator call a Node
+// under one lock and carry out the tasks that it leaves.
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/recordwatch"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/version/batch"
+	"github.com/doorstep/doorstep/internal/version/recordlease"
+	"github.com/doorstep/doorstep/internal/version/rollout"
+	"github.com/doorstep/doorstep/internal/version/routes"
+)
+
+const (
+	// headGather is the pause between two looks at the heads of batch jobs.
+	headGather = 40 * time.Millisecond
+	// rolloutRoom is how many items of batch jobs a replica may hold, as a multiple
+	// of its slots.
+	rolloutRoom = 1.5
+	// unreadyAfter is how long the store may be silent before a node calls itself not
+	// ready: others may reach it.
+	unreadyAfter = 2500 * time.Millisecond
+	// leaveAfter is how long a stopping node goes on taking connections, so that
+	// nothing is sent to it in vain before all know.
+	leaveAfter = 3 * time.Second
+	// leaseTable holds the leases.
+	leaseTable = "leases"
+)
+
+// DeploymentDecoder reads the records in which the platform keeps what operators,
+// trainers and replicas say.
+type DeploymentDecoder interface {
+	DeploymentTables() []string
+	DecodeDeployment(records []port.Record) (port.Deployment, error)
+}
+
+// Options configure a Node.
+type Options struct {
+	Name, Zone string
+	// Incarnation differs from that of any other life of this node.
+	Incarnation uint64
+	Decoder     DeploymentDecoder
+	// OrderPause is the least time between the orders of two holders.
+	OrderPause time.Duration
+}
+
+// Node is one node; all calls come from one loop.
+type Node struct {
+	options   Options
+	queue     *task.Queue
+	random    *rand.Rand
+	routes    *routes.Table
+	splitter  *routes.Splitter
+	endpoints *endpoint.Registry
+	jobs      *batch.Jobs
+	lease     *recordlease.Lease
+	rollout   *rollout.Rollout
+	watches   []*recordwatch.Watch
+	// clockOffset, once clockKnown, is the least that the store's clock is ahead of
+	// this node's.
+	clockOffset time.Duration
+	clockBase   time.Time
+	clockKnown  bool
+	startedAt   time.Time
+	stoppingAt  time.Time
+	rotation    uint64
+}
+
+// New returns a node that knows nothing yet.
+func New(now time.Time, options Options) *Node {
+	n := &Node{
+		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clockBase: now,
+		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
+	}
+	n.splitter = routes.NewSplitter(n.random.Float64())
+	n.rotation = n.random.Uint64()
+	n.jobs = batch.New(batch.Options{
+		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
+		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.storeClock,
+	})
+	n.lease = recordlease.New(recordlease.Options{
+		Key:    port.RecordKey{Table: leaseTable, Partition: "leases", Key: "version-orders"},
+		Holder: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Pause: options.OrderPause,
+		Jitter: n.random.Float64(),
+	})
+	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints})
+	n.watchTables()
+	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Zone, "incarnation", options.Incarnation)
+	return n
+}
+
+func (n *Node) watchTables() {
+	for _, table := range n.options.Decoder.DeploymentTables() {
+		n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
+			Table: table, Partitions: []string{""}, Queue: n.queue,
+			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
+			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
+			OnHealth: func(time.Time, bool) {},
+		}))
+	}
+	var partitions []string
+	for number := range batch.Partitions {
+		partitions = append(partitions, batch.PartitionName(number))
+	}
+	heads := func(now time.Time, records []port.Record) {
+		for _, record := range records {
+			n.jobs.OnHead(now, record)
+		}
+	}
+	n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
+		Table: batch.HeadTable, Partitions: partitions, Queue: n.queue, Gather: headGather,
+		OnList: heads, OnChange: heads, OnHealth: n.jobs.Observing,
+	}))
+}
+
+// Take returns the tasks left since the last call.
+func (n *Node) Take() []task.Task { return n.queue.Take() }
+
+// Jobs returns the batch jobs.
+func (n *Node) Jobs() *batch.Jobs { return n.jobs }
+
+// Endpoints returns the replicas.
+func (n *Node) Endpoints() *endpoint.Registry { return n.endpoints }
+
+// Lease returns the lease of the version orders.
+func (n *Node) Lease() *recordlease.Lease { return n.lease }
+
+// Routes returns the configuration in force, nil before the first.
+func (n *Node) Routes() *routes.Table { return n.routes }
+
+// Route returns a request's route, nil when there is none.
+func (n *Node) Route(host, path string) *port.Route {
+	if n.routes == nil {
+		return nil
+	}
+	return n.routes.Match(host, path)
+}
+
+// Tick drives all machines.
+func (n *Node) Tick(now time.Time) {
+	for _, watch := range n.watches {
+		watch.Tick(now)
+	}
+	n.lease.Tick(now)
+	n.rollout.Tick(now)
+	n.jobs.Tick(now)
+}
+
+// NoteClock takes the store's clock from one of its answers.
+func (n *Node) NoteClock(now time.Time, clock time.Duration) {
+	offset := clock - now.Sub(n.clockBase)
+	if !n.clockKnown || offset > n.clockOffset {
+		n.clockOffset = offset
+		n.clockKnown = true
+	}
+}
+
+func (n *Node) storeClock(now time.Time) time.Duration { return n.clockOffset + now.Sub(n.clockBase) }
+
+// Ready reports whether the node wants new connections.
+func (n *Node) Ready(now time.Time) bool {
+	if n.Stopping() || n.routes == nil {
+		return false
+	}
+	for _, watch := range n.watches {
+		if !watch.Read() {
+			return false
+		}
+		if now.Sub(watch.AnswerAt()) > unreadyAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop begins the planned stop: duties are handed over, requests are still served.
+func (n *Node) Stop(now time.Time) {
+	if n.Stopping() {
+		return
+	}
+	n.stoppingAt = now
+	n.queue.Log(event.ProcessStopping, "node", n.options.Name)
+	n.lease.Resign(now)
+	n.jobs.Stop(now)
+}
+
+// Stopping reports whether the planned stop has begun.
+func (n *Node) Stopping() bool { return !n.stoppingAt.IsZero() }
+
+// MayLeave reports whether nobody sends to this node any more.
+func (n *Node) MayLeave(now time.Time) bool {
+	return n.Stopping() && now.Sub(n.stoppingAt) >= leaveAfter && (n.jobs.Owned() == 0 || now.Sub(n.stoppingAt) >= 2*leaveAfter)
+}
+
+func (n *Node) onDeployment(now time.Time, table string, records []port.Record, whole bool) {
+	change, err := n.options.Decoder.DecodeDeployment(records)
+	if err != nil {
+		n.queue.Log(event.RecordUnreadable, "table", table, "error", err.Error())
+	}
+	if change.Routes != nil {
+		n.apply(now, change.Routes)
+	}
+	for _, target := range change.Targets {
+		n.rollout.Name(target)
+	}
+	listed := map[string]bool{}
+	for _, record := range change.Replicas {
+		listed[record.ID] = true
+		n.noteReplica(n.endpoints.Put(record))
+	}
+	for _, id := range change.Gone {
+		n.noteReplica(n.endpoints.Remove(id))
+	}
+	if whole && n.listsReplicas(table) {
+		for _, gone := range n.endpoints.Retain(listed) {
+			n.noteReplica(gone)
+		}
+	}
+}
+
+// listsReplicas reports whether a table holds the replicas, by its place among the
+// tables of the deployment.
+func (n *Node) listsReplicas(table string) bool {
+	tables := n.options.Decoder.DeploymentTables()
+	return table == tables[len(tables)-1]
+}
+
+func (n *Node) noteReplica(change endpoint.Change) {
+	if change.Endpoint == nil {
+		return
+	}
+	one := change.Endpoint
+	switch {
+	case change.Added:
+		n.queue.Log(event.ReplicaAdded, "replica", one.ID, "service", one.Service, "address", one.Address, "zone", one.Zone,
+			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining)
+	case change.Removed:
+		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
+		n.queue.Add(task.Forget{Address: one.Address})
+	case change.Leaving:
+		n.queue.Log(event.ReplicaLeaving, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
+	}
+}
+
+// apply puts a newer configuration in force; an older one never comes back.
+func (n *Node) apply(now time.Time, table *port.RouteTable) {
+	if n.routes != nil && table.Version <= n.routes.Version() {
+		return
+	}
+	n.routes = routes.New(table)
+	n.queue.Log(event.RoutesApplied, "version", table.Version, "routes", len(table.Routes), "services", len(table.Services),
+		"since_start_ms", now.Sub(n.startedAt).Milliseconds())
+}
+
+// modelEndpoints returns the replicas that hold models.
+func (n *Node) modelEndpoints() []*endpoint.Endpoint {
+	if n.routes == nil {
+		return nil
+	}
+	var list []*endpoint.Endpoint
+	for _, service := range n.routes.Services() {
+		for _, one := range n.endpoints.Service(service.Name) {
+			if len(one.Versions) > 0 {
+				list = append(list, one)
+			}
+		}
+	}
+	return list
+}
+
+// place chooses an endpoint for an item of a batch job.
+func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
+	query.Prefer = wanted.Prefer
+	query.Room = rolloutRoom
+	if wanted.Avoid != "" {
+		query.Exclude = map[string]bool{wanted.Avoid: true}
+	}
+	return n.pick(&endpoint.Rollouts, query, wanted.Route)
+}
+
+// Choose chooses an endpoint for a caller's request that has been to those excluded.
+func (n *Node) Choose(now time.Time, route *port.Route, model string, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Exclude = exclude
+	query.Model = model
+	return n.pick(&endpoint.Requests, query, route)
+}
+
+func (n *Node) query(now time.Time) *endpoint.Query {
+	n.rotation++
+	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
+}
+
+// pick tries the route's services in the order of the splitter; an endpoint that was
+// ejected is better than none.
+func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	order := n.splitter.Order(route)
+	for _, query.AllowEjected = range []bool{false, true} {
+		for _, service := range order {
+			if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/endpoint/endpoint.go
@@ -0,0 +1,184 @@
+// Package endpoint keeps what a node knows of the replicas it may send to: what the
+// platform's list says, what their answers told, and how this node's own attempts
+// fared. A choice is a pipeline of filters, scorers and a picker over that.
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+const (
+	// loadLife is how long a told load counts.
+	loadLife = 2 * time.Second
+	// ejectAfter failures in a row take an endpoint out, for ejectFirst at first and
+	// twice as long each time, up to ejectLongest.
+	ejectAfter   = 2
+	ejectFirst   = 500 * time.Millisecond
+	ejectLongest = 4 * time.Second
+	// latencyWeight is the part of the newest latency in the running mean.
+	latencyWeight = 0.2
+)
+
+// Endpoint is one incarnation of a replica.
+type Endpoint struct {
+	port.ReplicaRecord
+	// InFlight counts this node's attempts that have not ended.
+	InFlight int
+	// UsedAt is when the last attempt was sent.
+	UsedAt time.Time
+
+	told         int
+	toldAt       time.Time
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	latency      time.Duration
+	loadingUntil time.Time
+}
+
+// Load returns the requests that are known to be at the endpoint: this node's own,
+// or what its last answer told, whichever is more.
+func (e *Endpoint) Load(now time.Time) int {
+	if now.Sub(e.toldAt) < loadLife {
+		return max(e.InFlight, e.told)
+	}
+	return e.InFlight
+}
+
+// Ejected reports whether failures keep the endpoint out for now.
+func (e *Endpoint) Ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
+
+// Loading reports whether the endpoint is thought to load a version.
+func (e *Endpoint) Loading(now time.Time) bool { return now.Before(e.loadingUntil) }
+
+// SetLoading notes that the endpoint takes no new requests until then.
+func (e *Endpoint) SetLoading(until time.Time) { e.loadingUntil = until }
+
+// LearnVersion takes a version that the endpoint named; versions only rise.
+func (e *Endpoint) LearnVersion(model string, version int64) {
+	if version <= e.Versions[model] || model == "" {
+		return
+	}
+	if e.Versions == nil {
+		e.Versions = map[string]int64{}
+	}
+	e.Versions[model] = version
+}
+
+// LearnLoad takes the load that an answer told.
+func (e *Endpoint) LearnLoad(now time.Time, running, waiting int) {
+	e.told = running + waiting
+	e.toldAt = now
+}
+
+// Succeeded notes an attempt that was answered, and how long that took.
+func (e *Endpoint) Succeeded(latency time.Duration) {
+	e.failures = 0
+	e.ejections = 0
+	e.ejectedUntil = time.Time{}
+	if e.latency == 0 {
+		e.latency = latency
+		return
+	}
+	e.latency += time.Duration(latencyWeight * float64(latency-e.latency))
+}
+
+// Failed notes an attempt that broke; it reports whether the endpoint was ejected.
+func (e *Endpoint) Failed(now time.Time) bool {
+	e.failures++
+	if e.failures < ejectAfter || e.Ejected(now) {
+		return false
+	}
+	pause := min(ejectFirst<<e.ejections, ejectLongest)
+	if pause < ejectLongest {
+		e.ejections++
+	}
+	e.ejectedUntil = now.Add(pause)
+	return true
+}
+
+// Busy notes that the endpoint turned a request away for load.
+func (e *Endpoint) Busy(now time.Time) {
+	e.told = max(e.told, e.Slots)
+	e.toldAt = now
+}
+
+// Registry holds the endpoints by the replicas' IDs.
+type Registry struct {
+	byID      map[string]*Endpoint
+	byService map[string][]*Endpoint
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{byID: map[string]*Endpoint{}, byService: map[string][]*Endpoint{}}
+}
+
+// Find returns an endpoint, nil when it is not listed.
+func (r *Registry) Find(id string) *Endpoint { return r.byID[id] }
+
+// Service returns the endpoints of a service in the order of their IDs.
+func (r *Registry) Service(name string) []*Endpoint { return r.byService[name] }
+
+// Change says how an endpoint changed.
+type Change struct {
+	Endpoint *Endpoint
+	// Added, Leaving and Removed tell of the change; none is set for a mere update.
+	Added, Leaving, Removed bool
+}
+
+// Put takes a replica's record.
+func (r *Registry) Put(record port.ReplicaRecord) Change {
+	known := r.byID[record.ID]
+	if known == nil {
+		known = &Endpoint{ReplicaRecord: record}
+		r.byID[record.ID] = known
+		r.byService[record.Service] = insert(r.byService[record.Service], known)
+		return Change{Endpoint: known, Added: true, Leaving: record.Draining}
+	}
+	leaving := record.Draining && !known.Draining
+	versions := known.Versions
+	known.ReplicaRecord = record
+	known.Versions = map[string]int64{}
+	for model, version := range record.Versions {
+		known.Versions[model] = max(version, versions[model])
+	}
+	return Change{Endpoint: known, Leaving: leaving}
+}
+
+// Remove drops a replica that is no longer listed.
+func (r *Registry) Remove(id string) Change {
+	known := r.byID[id]
+	if known == nil {
+		return Change{}
+	}
+	known.Draining = true
+	delete(r.byID, id)
+	r.byService[known.Service] = slices.DeleteFunc(r.byService[known.Service], func(e *Endpoint) bool { return e == known })
+	return Change{Endpoint: known, Removed: true}
+}
+
+// Retain drops all replicas that are not in a full listing.
+func (r *Registry) Retain(listed map[string]bool) []Change {
+	var ids []string
+	for id := range r.byID {
+		if !listed[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	var changes []Change
+	for _, id := range ids {
+		changes = append(changes, r.Remove(id))
+	}
+	return changes
+}
+
+func insert(list []*Endpoint, one *Endpoint) []*Endpoint {
+	at, _ := slices.BinarySearchFunc(list, one, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.Insert(list, at, one)
+}
--- /dev/null
+++ b/internal/process/endpoint/pick.go
@@ -0,0 +1,152 @@
+package endpoint
+
+import "time"
+
+// Query says what a request needs of an endpoint.
+type Query struct {
+	Now time.Time
+	// Zone is the node's own.
+	Zone string
+	// Model and MinVersion bound the weights; an empty model wants none.
+	Model      string
+	MinVersion int64
+	// Exclude holds endpoints that this request has been to.
+	Exclude map[string]bool
+	// Prefer is the ID of the endpoint that holds the request's prompt.
+	Prefer string
+	// Room is how many requests, as a multiple of its slots, an endpoint may hold.
+	Room float64
+	// AllowEjected also takes endpoints that failed lately.
+	AllowEjected bool
+	// Rotation breaks ties; it differs from choice to choice.
+	Rotation uint64
+}
+
+// Filter reports whether an endpoint may be used.
+type Filter func(q *Query, e *Endpoint) bool
+
+// Scorer rates an endpoint from 0, worst, to 1, best.
+type Scorer func(q *Query, e *Endpoint) float64
+
+type weightedScorer struct {
+	score  Scorer
+	weight float64
+}
+
+// Profile is one way of choosing.
+type Profile struct {
+	filters []Filter
+	scorers []weightedScorer
+}
+
+// Requests is the profile for callers' requests. Rollouts is the one for items of
+// batch jobs, which seek the endpoint that holds their prompt.
+var (
+	Requests = Profile{
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 2}, {SameZone, 1}},
+	}
+	Rollouts = Profile{
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 1}, {Preferred, 3}, {SameZone, 0.5}},
+	}
+)
+
+// NotDraining drops endpoints that leave.
+func NotDraining(_ *Query, e *Endpoint) bool { return !e.Draining }
+
+// NotExcluded drops endpoints that the request has been to.
+func NotExcluded(q *Query, e *Endpoint) bool { return !q.Exclude[e.ID] }
+
+// NotEjected drops endpoints that failed lately.
+func NotEjected(q *Query, e *Endpoint) bool { return q.AllowEjected || !e.Ejected(q.Now) }
+
+// NotLoading drops endpoints that load a version.
+func NotLoading(q *Query, e *Endpoint) bool { return !e.Loading(q.Now) }
+
+// VersionReached drops endpoints whose weights are too old.
+func VersionReached(q *Query, e *Endpoint) bool {
+	return q.Model == "" || e.Versions[q.Model] >= q.MinVersion
+}
+
+// HasRoom drops endpoints that hold as many requests as they should.
+func HasRoom(q *Query, e *Endpoint) bool {
+	return float64(e.Load(q.Now)) < q.Room*float64(max(e.Slots, 1))
+}
+
+// LeastLoad is 1 for an idle endpoint and falls to 0 at twice its slots.
+func LeastLoad(q *Query, e *Endpoint) float64 {
+	return max(0, 1-float64(e.Load(q.Now))/float64(2*max(e.Slots, 1)))
+}
+
+// typicalLatency is where Fast is one half.
+const typicalLatency = 100 * time.Millisecond
+
+// Fast falls from 1 towards 0 as the endpoint's answers take longer; an endpoint
+// without answers rates as a fast one, so that it is tried.
+func Fast(_ *Query, e *Endpoint) float64 {
+	return float64(typicalLatency) / float64(typicalLatency+e.latency)
+}
+
+// SameZone is 1 in the node's own zone, 0 elsewhere.
+func SameZone(q *Query, e *Endpoint) float64 {
+	if e.Zone == q.Zone {
+		return 1
+	}
+	return 0
+}
+
+// Preferred is 1 for the endpoint that holds the prompt, 0 for others.
+func Preferred(q *Query, e *Endpoint) float64 {
+	if q.Prefer != "" && e.ID == q.Prefer {
+		return 1
+	}
+	return 0
+}
+
+// tieBand is how near to the best a score must be to count as equal.
+const tieBand = 0.02
+
+// Pick returns the chosen endpoint, nil when none may be used.
+func (p *Profile) Pick(q *Query, candidates []*Endpoint) *Endpoint {
+	best := -1.0
+	var near []*Endpoint
+	var sums []float64
+	for _, candidate := range candidates {
+		if !p.allowed(q, candidate) {
+			continue
+		}
+		sum := p.sum(q, candidate)
+		best = max(best, sum)
+		near = append(near, candidate)
+		sums = append(sums, sum)
+	}
+	equal := near[:0]
+	for i, candidate := range near {
+		if sums[i] >= best-tieBand {
+			equal = append(equal, candidate)
+		}
+	}
+	if len(equal) == 0 {
+		return nil
+	}
+	return equal[q.Rotation%uint64(len(equal))]
+}
+
+func (p *Profile) allowed(q *Query, candidate *Endpoint) bool {
+	for _, filter := range p.filters {
+		if !filter(q, candidate) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Profile) sum(q *Query, candidate *Endpoint) float64 {
+	total, weights := 0.0, 0.0
+	for _, scorer := range p.scorers {
+		total += scorer.weight * scorer.score(q, candidate)
+		weights += scorer.weight
+	}
+	return total / weights
+}
--- /dev/null
+++ b/internal/process/recordwatch/recordwatch.go
@@ -0,0 +1,162 @@
+// Package recordwatch follows one table of the record store: it reads the table whole
+// and then watches its changes. A watch may be silent while changes are made, and its
+// history may be gone, so the table is read again after any trouble and now and then.
+package recordwatch
+
+import (
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// wait is how long the store may hold one call of a watch.
+	wait = 800 * time.Millisecond
+	// rereadEvery bounds how long a change may go unseen that the watch missed.
+	rereadEvery = 4 * time.Second
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 60 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+)
+
+// Options configure a Watch.
+type Options struct {
+	Table      string
+	Partitions []string
+	Queue      *task.Queue
+	// Gather is the pause between two calls, in which changes gather.
+	Gather time.Duration
+	// OnList takes the whole table, OnChange records that changed.
+	OnList   func(now time.Time, records []port.Record)
+	OnChange func(now time.Time, records []port.Record)
+	// OnHealth is told when the watch breaks and when it is whole again.
+	OnHealth func(now time.Time, healthy bool)
+}
+
+// Watch is the machine; it belongs to the node's loop.
+type Watch struct {
+	options Options
+	busy    bool
+	nextAt  time.Time
+	pause   time.Duration
+	// listing is the partition being read, or the number of partitions once all are.
+	listing  int
+	from     string
+	records  []port.Record
+	after    int64
+	listedAt time.Time
+	everRead bool
+	healthy  bool
+	answerAt time.Time
+}
+
+// New returns a watch that has read nothing.
+func New(options Options) *Watch { return &Watch{options: options, pause: firstPause} }
+
+// Read reports whether the table was read whole at least once.
+func (w *Watch) Read() bool { return w.everRead }
+
+// Healthy reports whether the last call succeeded.
+func (w *Watch) Healthy() bool { return w.healthy }
+
+// AnswerAt returns when the store last answered.
+func (w *Watch) AnswerAt() time.Time { return w.answerAt }
+
+// Tick makes the next call when it is due.
+func (w *Watch) Tick(now time.Time) {
+	if w.busy || now.Before(w.nextAt) {
+		return
+	}
+	w.busy = true
+	if w.listing < len(w.options.Partitions) {
+		w.list()
+		return
+	}
+	w.options.Queue.Add(task.Watch{Table: w.options.Table, After: w.after, Wait: wait, Done: w.onChanges})
+}
+
+func (w *Watch) list() {
+	w.options.Queue.Add(task.Range{
+		Query: port.RecordRange{Table: w.options.Table, Partition: w.options.Partitions[w.listing], From: w.from},
+		Done:  w.onRange,
+	})
+}
+
+func (w *Watch) onRange(now time.Time, result port.RecordResult) {
+	w.busy = false
+	if result.Status != port.RecordDone {
+		w.failed(now, result.Status)
+		return
+	}
+	w.answerAt = now
+	if w.listing == 0 && w.from == "" {
+		// Changes made while the rest is read are watched from here.
+		w.after = result.Revision
+	}
+	w.records = append(w.records, result.Records...)
+	if result.More && len(result.Records) > 0 {
+		w.from = result.Records[len(result.Records)-1].Key + "\x00"
+		w.Tick(now)
+		return
+	}
+	w.from = ""
+	w.listing++
+	if w.listing == len(w.options.Partitions) {
+		w.finishList(now)
+	}
+	w.Tick(now)
+}
+
+func (w *Watch) finishList(now time.Time) {
+	records := w.records
+	w.records = nil
+	w.listedAt = now
+	w.everRead = true
+	w.pause = firstPause
+	w.options.OnList(now, records)
+	if !w.healthy {
+		w.healthy = true
+		w.options.Queue.Log(event.StoreRegained, "table", w.options.Table, "revision", w.after)
+		w.options.OnHealth(now, true)
+	}
+}
+
+func (w *Watch) onChanges(now time.Time, result port.RecordResult) {
+	w.busy = false
+	if result.Status != port.RecordDone {
+		w.failed(now, result.Status)
+		return
+	}
+	w.answerAt = now
+	w.after = max(w.after, result.Revision)
+	if len(result.Records) > 0 {
+		w.options.OnChange(now, result.Records)
+		w.nextAt = now.Add(w.options.Gather)
+	}
+	if now.Sub(w.listedAt) >= rereadEvery {
+		w.listing = 0
+	}
+	w.Tick(now)
+}
+
+// failed begins anew with a whole read. History that is gone is no trouble of the
+// store's, so the read follows at once.
+func (w *Watch) failed(now time.Time, status port.RecordStatus) {
+	w.listing = 0
+	w.from = ""
+	w.records = nil
+	if status == port.RecordCompacted {
+		w.nextAt = now
+		w.Tick(now)
+		return
+	}
+	w.nextAt = now.Add(w.pause)
+	w.pause = min(2*w.pause, longestPause)
+	if w.healthy {
+		w.healthy = false
+		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(status), "revision", w.after)
+		w.options.OnHealth(now, false)
+	}
+}
--- a/internal/process/settings/decode.go
+++ b/internal/process/settings/decode.go
@@ -8,7 +8,7 @@
 )
 
 // decoder refuses unknown fields and values of another type.
-func decoder(into *Settings) *mapstructure.DecoderConfig {
+func decoder(into any) *mapstructure.DecoderConfig {
 	return &mapstructure.DecoderConfig{
 		Result:      into,
 		TagName:     "koanf",
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -151,7 +151,7 @@
 
 // unmarshal refuses fields that do not exist, so that a slip of the pen is not
 // taken for a default.
-func unmarshal(k *koanf.Koanf, into *Settings) []Fault {
+func unmarshal(k *koanf.Koanf, into any) []Fault {
 	config := koanf.UnmarshalConf{Tag: "koanf", DecoderConfig: decoder(into)}
 	if err := k.UnmarshalWithConf("", into, config); err != nil {
 		return []Fault{{Field: "(file)", Value: strings.ReplaceAll(err.Error(), "\n", " "), Allowed: "the fields in docs/SETTINGS.md, each of its type"}}
@@ -167,7 +167,7 @@
 	return v
 }
 
-func checkFields(s *Settings) []Fault {
+func checkFields(s any) []Fault {
 	err := validate.Struct(s)
 	var invalid validator.ValidationErrors
 	if !errors.As(err, &invalid) {
--- /dev/null
+++ b/internal/process/task/task.go
@@ -0,0 +1,144 @@
+// Package task lists what the machines of a node want done outside of them. A
+// machine adds tasks to a queue; the daemon or the simulator carries them out and
+// hands each outcome back through Done, within the node's loop.
+package task
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+// Task is one thing to be done.
+type Task interface{ isTask() }
+
+// Commit carries out a transaction of the record store.
+type Commit struct {
+	Transaction port.RecordTransaction
+	Done        func(now time.Time, result port.RecordResult)
+}
+
+// Range reads records.
+type Range struct {
+	Query port.RecordRange
+	Done  func(now time.Time, result port.RecordResult)
+}
+
+// Run sends an item of a batch job to a replica and reads its stream.
+type Run struct {
+	// ID names the run within this node's life.
+	ID uint64
+	// Item is the request's id at the replica.
+	Item string
+	// Replica and Address say where.
+	Replica, Address string
+	// Target is the path, Host, Header and Body are the request's.
+	Target, Host string
+	Header       http.Header
+	Body         []byte
+	// Limit is the time granted to the replica.
+	Limit time.Duration
+	// After is the id of the event to continue behind, 0 for the beginning.
+	After int64
+	Done  func(now time.Time, result RunResult)
+}
+
+// StopRun cancels a run; its Done is called as for any other end.
+type StopRun struct{ ID uint64 }
+
+// RunOutcome is how a run ended.
+type RunOutcome int
+
+const (
+	// RunCompleted means that the stream came to its proper end.
+	RunCompleted RunOutcome = iota
+	// RunInterrupted means that it broke off; its whole events count.
+	RunInterrupted
+	// RunFailed means that the replica answered with a failure of its own.
+	RunFailed
+	// RunImpossible means that the item can never be done.
+	RunImpossible
+	// RunRefused means that it did not run: the replica is full or loads.
+	RunRefused
+	// RunUnreachable means that the replica could not be reached.
+	RunUnreachable
+)
+
+// RunResult is the end of a run. Each event carries the version that made it.
+type RunResult struct {
+	Outcome RunOutcome
+	Status  int
+	Events  []port.ReplicaEvent
+	// FirstEvent is how long the first event took.
+	FirstEvent time.Duration
+}
+
+// Order sends an order to a replica.
+type Order struct {
+	Order port.OrderVersion
+	Done  func(now time.Time, status port.VersionOrderStatus)
+}
+
+// Report asks a replica for its state.
+type Report struct {
+	Replica, Address string
+	Done             func(now time.Time, report port.ReplicaReport)
+}
+
+// Wake tells those who wait for a batch job that it changed.
+type Wake struct{ Job string }
+
+// Log writes a numbered event; fields alternate names and values.
+type Log struct {
+	Event  int
+	Fields []any
+}
+
+func (Commit) isTask()  {}
+func (Range) isTask()   {}
+func (Run) isTask()     {}
+func (StopRun) isTask() {}
+func (Order) isTask()   {}
+func (Report) isTask()  {}
+func (Wake) isTask()    {}
+func (Log) isTask()     {}
+
+// Queue collects tasks in order; it belongs to the node's loop.
+type Queue struct{ list []Task }
+
+// Add appends a task.
+func (q *Queue) Add(one Task) { q.list = append(q.list, one) }
+
+// Log appends a Log task.
+func (q *Queue) Log(number int, fields ...any) { q.Add(Log{Event: number, Fields: fields}) }
+
+// Take empties the queue.
+func (q *Queue) Take() []Task {
+	list := q.list
+	q.list = nil
+	return list
+}
+
+// Later calls back after a while.
+type Later struct {
+	After time.Duration
+	Do    func(now time.Time)
+}
+
+func (Later) isTask() {}
+
+// Watch waits for changes of a table.
+type Watch struct {
+	Table string
+	After int64
+	Wait  time.Duration
+	Done  func(now time.Time, result port.RecordResult)
+}
+
+func (Watch) isTask() {}
+
+// Forget closes the idle connections to an address.
+type Forget struct{ Address string }
+
+func (Forget) isTask() {}
--- /dev/null
+++ b/internal/version/batch/accept.go
@@ -0,0 +1,305 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// Outcome is what a client is told about its call.
+type Outcome int
+
+const (
+	// Done means that the call took effect, now or before.
+	Done Outcome = iota
+	// NotDone means that it did not take effect and never will.
+	NotDone
+	// Unsure means that it may have taken effect, or may yet.
+	Unsure
+	// Absent means that there is no such job.
+	Absent
+)
+
+const (
+	// acceptFor bounds the tries to accept a job, endFor those to end one.
+	acceptFor = 2500 * time.Millisecond
+	endFor    = 2500 * time.Millisecond
+	// refusalsFor bounds the tries while the store only refuses: the client is told
+	// early enough to try elsewhere.
+	refusalsFor = 600 * time.Millisecond
+	// firstPause and longestPause bound the pause before a repeat.
+	firstPause   = 30 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+func sortedKeys[V any](from map[string]V) []string {
+	keys := make([]string, 0, len(from))
+	for key := range from {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, cmp.Compare[string])
+	return keys
+}
+
+// acceptance is one client's try to hand a job in.
+type acceptance struct {
+	jobs     *Jobs
+	job      *doorstepv1.BatchJob
+	head     *doorstepv1.BatchJobHead
+	early    [][]port.Record
+	last     []port.Record
+	startAt  time.Time
+	pause    time.Duration
+	unsure   bool
+	done     func(now time.Time, outcome Outcome)
+	finished bool
+}
+
+// Accept writes a job and becomes its owner. Content that does not fit into one
+// transaction is written ahead: it is the same at every try, and nothing refers to it
+// before the head stands.
+func (j *Jobs) Accept(now time.Time, job *doorstepv1.BatchJob, done func(now time.Time, outcome Outcome)) {
+	if j.heads[job.Id] != nil {
+		done(now, Done)
+		return
+	}
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(job)
+	if err != nil {
+		panic("a job must encode: " + err.Error())
+	}
+	a := &acceptance{jobs: j, job: job, startAt: now, pause: firstPause, done: done}
+	records := chunkRecords(content, func(chunk int) port.RecordKey { return contentKey(job.Id, chunk) })
+	a.head = &doorstepv1.BatchJobHead{
+		Owner: j.options.Self, OwnerIncarnation: j.options.Incarnation,
+		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
+		AcceptedAtMs: j.options.Clock(now).Milliseconds(), Chunks: int32(len(records)),
+	}
+	const perTransaction = transactionBytes / chunkBytes
+	for len(records) > perTransaction {
+		a.early = append(a.early, records[:perTransaction])
+		records = records[perTransaction:]
+	}
+	a.last = records
+	a.submit(now)
+}
+
+func chunkRecords(content []byte, key func(chunk int) port.RecordKey) []port.Record {
+	var records []port.Record
+	for chunk := range slices.Chunk(content, chunkBytes) {
+		records = append(records, port.Record{RecordKey: key(len(records)), Value: chunk})
+	}
+	return records
+}
+
+func (a *acceptance) submit(now time.Time) {
+	if len(a.early) > 0 {
+		a.jobs.commit(port.RecordTransaction{Puts: a.early[0]}, func(now time.Time, result port.RecordResult) {
+			if result.Status == port.RecordDone {
+				a.early = a.early[1:]
+				a.submit(now)
+				return
+			}
+			a.retry(now, false)
+		})
+		return
+	}
+	value, err := proto.Marshal(a.head)
+	if err != nil {
+		panic("a head must encode: " + err.Error())
+	}
+	key := headKey(a.job.Id)
+	a.jobs.commit(port.RecordTransaction{
+		Preconditions: []port.Precondition{{RecordKey: key}},
+		Puts:          append([]port.Record{{RecordKey: key, Value: value}}, a.last...),
+	}, a.onCommit)
+}
+
+func (a *acceptance) onCommit(now time.Time, result port.RecordResult) {
+	switch result.Status {
+	case port.RecordDone:
+		a.jobs.begin(now, a.job, a.head, result.Revision)
+		a.finish(now, Done)
+	case port.RecordConflict:
+		// Some try of this job took effect, perhaps one of this node's.
+		a.adopt(now, result)
+		a.finish(now, Done)
+	case port.RecordUnknown:
+		a.retry(now, true)
+	default:
+		a.retry(now, false)
+	}
+}
+
+func (a *acceptance) adopt(now time.Time, result port.RecordResult) {
+	for _, record := range result.Records {
+		if record.Key != a.job.Id || record.Revision == 0 {
+			continue
+		}
+		a.jobs.OnHead(now, record)
+		known := a.jobs.heads[a.job.Id]
+		if known != nil && a.jobs.mine(known.BatchJobHead) && a.jobs.owned[a.job.Id] == nil && !known.Ended {
+			a.jobs.begin(now, a.job, known.BatchJobHead, known.revision)
+		}
+	}
+}
+
+func (a *acceptance) retry(now time.Time, unsure bool) {
+	a.unsure = a.unsure || unsure
+	limit := refusalsFor
+	if a.unsure {
+		limit = acceptFor
+	}
+	if now.Sub(a.startAt)+a.pause >= limit {
+		outcome := NotDone
+		if a.unsure {
+			outcome = Unsure
+		}
+		a.finish(now, outcome)
+		return
+	}
+	a.jobs.later(a.pause, a.submit)
+	a.pause = min(2*a.pause, longestPause)
+}
+
+func (a *acceptance) finish(now time.Time, outcome Outcome) {
+	if a.finished {
+		return
+	}
+	a.finished = true
+	a.done(now, outcome)
+}
+
+func (j *Jobs) commit(transaction port.RecordTransaction, done func(now time.Time, result port.RecordResult)) {
+	j.options.Queue.Add(task.Commit{Transaction: transaction, Done: done})
+}
+
+func (j *Jobs) later(pause time.Duration, do func(now time.Time)) {
+	jitter := time.Duration(j.options.Random.Int64N(int64(pause)/2 + 1))
+	j.options.Queue.Add(task.Later{After: pause + jitter, Do: do})
+}
+
+// End records that a job's client needs no more results.
+func (j *Jobs) End(now time.Time, id string, done func(now time.Time, outcome Outcome)) {
+	known := j.heads[id]
+	if known != nil && known.Ended {
+		done(now, Done)
+		return
+	}
+	e := &ending{jobs: j, id: id, startAt: now, pause: firstPause, done: done}
+	if known == nil {
+		e.read(now)
+		return
+	}
+	e.submit(now)
+}
+
+// ending is one client's try to end a job.
+type ending struct {
+	jobs    *Jobs
+	id      string
+	startAt time.Time
+	pause   time.Duration
+	unsure  bool
+	done    func(now time.Time, outcome Outcome)
+}
+
+func (e *ending) read(time.Time) {
+	e.jobs.ReadHead(e.id, func(now time.Time, status port.RecordStatus) {
+		switch {
+		case status != port.RecordDone:
+			e.retry(now, false)
+		case e.jobs.heads[e.id] == nil:
+			e.done(now, Absent)
+		default:
+			e.submit(now)
+		}
+	})
+}
+
+func (e *ending) submit(now time.Time) {
+	known := e.jobs.heads[e.id]
+	if known == nil {
+		e.done(now, Absent)
+		return
+	}
+	if known.Ended {
+		e.done(now, Done)
+		return
+	}
+	next := proto.Clone(known.BatchJobHead).(*doorstepv1.BatchJobHead)
+	next.Ended = true
+	e.jobs.commitHead(e.id, next, known.revision, nil, func(now time.Time, result port.RecordResult) {
+		switch result.Status {
+		case port.RecordDone:
+			e.jobs.options.Queue.Log(event.JobEnded, "job", e.id, "listed", next.Listed, "total", next.Total)
+			e.done(now, Done)
+		case port.RecordConflict:
+			e.submit(now)
+		default:
+			e.retry(now, result.Status == port.RecordUnknown)
+		}
+	})
+}
+
+func (e *ending) retry(now time.Time, unsure bool) {
+	e.unsure = e.unsure || unsure
+	if now.Sub(e.startAt)+e.pause >= endFor {
+		outcome := NotDone
+		if e.unsure {
+			outcome = Unsure
+		}
+		e.done(now, outcome)
+		return
+	}
+	e.jobs.later(e.pause, e.read)
+	e.pause = min(2*e.pause, longestPause)
+}
+
+// commitHead replaces a head under the condition that it stands at a revision, along
+// with other records. After success or a conflict the head is known anew.
+func (j *Jobs) commitHead(id string, next *doorstepv1.BatchJobHead, revision int64, puts []port.Record, done func(now time.Time, result port.RecordResult)) {
+	value, err := proto.Marshal(next)
+	if err != nil {
+		panic("a head must encode: " + err.Error())
+	}
+	key := headKey(id)
+	j.commit(port.RecordTransaction{
+		Preconditions: []port.Precondition{{RecordKey: key, Revision: revision}},
+		Puts:          append([]port.Record{{RecordKey: key, Value: value}}, puts...),
+	}, func(now time.Time, result port.RecordResult) {
+		switch result.Status {
+		case port.RecordDone:
+			j.setHead(now, id, next, result.Revision)
+		case port.RecordConflict:
+			for _, record := range result.Records {
+				if record.Key == id {
+					j.OnHead(now, record)
+				}
+			}
+		}
+		done(now, result)
+	})
+}
+
+// ReadHead reads a job's head from the store.
+func (j *Jobs) ReadHead(id string, done func(now time.Time, status port.RecordStatus)) {
+	key := headKey(id)
+	j.options.Queue.Add(task.Range{
+		Query: port.RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"},
+		Done: func(now time.Time, result port.RecordResult) {
+			for _, record := range result.Records {
+				if result.Status == port.RecordDone {
+					j.OnHead(now, record)
+				}
+			}
+			done(now, result.Status)
+		},
+	})
+}
--- /dev/null
+++ b/internal/version/batch/batch.go
@@ -0,0 +1,245 @@
+// Package batch keeps batch jobs in the record store and sees their items run.
+//
+// A job is written once, with a head record that holds its state. Every change of a
+// job is a transaction that demands the head's revision, so that an item gets one
+// position however many nodes believe that they own the job. Ownership decides only
+// who runs the items: an owner that falls silent is replaced, and one that wakes up
+// finds its writes refused.
+package batch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// HeadTable holds the heads, which every node watches.
+	HeadTable = "batch-heads"
+	// DataTable holds the jobs' contents and results, which are read when asked for.
+	DataTable = "batch-data"
+	// Partitions is the number of partitions that jobs are spread over.
+	Partitions = 8
+	// chunkBytes is the content of one record, below the store's bound.
+	chunkBytes = 60_000
+	// transactionBytes bounds the contents of one transaction.
+	transactionBytes = 600_000
+)
+
+// Partition returns the partition of a job.
+func Partition(job string) string {
+	return PartitionName(int(xxhash.Sum64String(job) % Partitions))
+}
+
+// PartitionName returns the name of a partition by its number.
+func PartitionName(number int) string { return fmt.Sprintf("p%d", number) }
+
+func headKey(job string) port.RecordKey {
+	return port.RecordKey{Table: HeadTable, Partition: Partition(job), Key: job}
+}
+
+func contentKey(job string, chunk int) port.RecordKey {
+	return port.RecordKey{Table: DataTable, Partition: Partition(job), Key: fmt.Sprintf("%s/m/%04d", job, chunk)}
+}
+
+func resultKey(job string, position, chunk int) port.RecordKey {
+	return port.RecordKey{Table: DataTable, Partition: Partition(job), Key: fmt.Sprintf("%s/r/%08d/%02d", job, position, chunk)}
+}
+
+// Placement says what an item needs of an endpoint.
+type Placement struct {
+	Route      *port.Route
+	Model      string
+	MinVersion int64
+	// Prefer is the endpoint that holds the item's prompt, Avoid one that failed it.
+	Prefer, Avoid string
+}
+
+// Options configure Jobs.
+type Options struct {
+	Self        string
+	Incarnation uint64
+	Queue       *task.Queue
+	Random      *rand.Rand
+	// Place chooses an endpoint, nil when none has room.
+	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
+	// Find returns an endpoint that is still listed.
+	Find func(id string) *endpoint.Endpoint
+	// Route returns the route of a host and path under the configuration in force.
+	Route func(host, path string) *port.Route
+	// Clock returns the store's steady clock, as far as it is known to have come.
+	Clock func(now time.Time) time.Duration
+}
+
+// head is what this node knows of a job's head record.
+type head struct {
+	*doorstepv1.BatchJobHead
+	revision int64
+	// changedAt is when this node saw the record change.
+	changedAt time.Time
+	// mutating is set while this node changes the head other than as its owner.
+	mutating bool
+	nextTry  time.Time
+}
+
+func (h *head) complete() bool { return h.Listed >= h.Total }
+
+// Jobs is the machine; it belongs to the node's loop.
+type Jobs struct {
+	options Options
+	heads   map[string]*head
+	owned   map[string]*ownedJob
+	runs    uint64
+	// observedSince is when the present unbroken watch of the heads began.
+	observedSince time.Time
+	observing     bool
+	stopping      bool
+}
+
+// New returns a machine that knows of no job.
+func New(options Options) *Jobs {
+	return &Jobs{options: options, heads: map[string]*head{}, owned: map[string]*ownedJob{}}
+}
+
+// Known returns the state of a job as last seen: its items, how many are listed, and
+// whether it ended.
+func (j *Jobs) Known(id string) (state State, ok bool) {
+	known := j.heads[id]
+	if known == nil {
+		return State{}, false
+	}
+	return State{Total: int(known.Total), Listed: int(known.Listed), Ended: known.Ended, Chunks: int(known.Chunks), Owner: known.Owner}, true
+}
+
+// State is a job's state for readers.
+type State struct {
+	Total, Listed, Chunks int
+	Ended                 bool
+	Owner                 string
+}
+
+// Counts returns how many jobs are open, how many this node owns, and how many items
+// of these run or wait.
+func (j *Jobs) Counts() (open, owned, running, waiting int) {
+	for _, known := range j.heads {
+		if !known.Ended && !known.complete() {
+			open++
+		}
+	}
+	for _, job := range j.owned {
+		for i := range job.items {
+			switch job.items[i].state {
+			case itemRunning:
+				running++
+			case itemWaiting:
+				waiting++
+			}
+		}
+	}
+	return open, len(j.owned), running, waiting
+}
+
+// Observing notes whether the watch of the heads is unbroken.
+func (j *Jobs) Observing(now time.Time, observing bool) {
+	if observing && !j.observing {
+		j.observedSince = now
+	}
+	j.observing = observing
+}
+
+// OnHead takes a head record from the watch or a read.
+func (j *Jobs) OnHead(now time.Time, record port.Record) {
+	if record.Deleted {
+		delete(j.heads, record.Key)
+		j.drop(record.Key, "the job is gone")
+		return
+	}
+	known := j.heads[record.Key]
+	if known != nil && record.Revision <= known.revision {
+		return
+	}
+	decoded := &doorstepv1.BatchJobHead{}
+	if err := proto.Unmarshal(record.Value, decoded); err != nil {
+		j.options.Queue.Log(event.RecordUnreadable, "table", record.Table, "key", record.Key, "error", err.Error())
+		return
+	}
+	j.setHead(now, record.Key, decoded, record.Revision)
+}
+
+// setHead takes a newer head, and drops the job if this node no longer runs it.
+func (j *Jobs) setHead(now time.Time, id string, decoded *doorstepv1.BatchJobHead, revision int64) {
+	known := j.heads[id]
+	if known == nil {
+		known = &head{}
+		j.heads[id] = known
+	}
+	if revision < known.revision {
+		return
+	}
+	known.BatchJobHead = decoded
+	known.revision = revision
+	known.changedAt = now
+	j.options.Queue.Add(task.Wake{Job: id})
+	switch job := j.owned[id]; {
+	case job == nil:
+	case decoded.Ended:
+		j.drop(id, "the job was ended")
+	case !j.mine(decoded):
+		j.drop(id, "owned by "+decoded.Owner)
+	default:
+		job.adopt(known)
+	}
+}
+
+func (j *Jobs) mine(decoded *doorstepv1.BatchJobHead) bool {
+	return decoded.Owner == j.options.Self && decoded.OwnerIncarnation == j.options.Incarnation
+}
+
+// drop stops all work on a job.
+func (j *Jobs) drop(id, reason string) {
+	job := j.owned[id]
+	if job == nil {
+		return
+	}
+	delete(j.owned, id)
+	for i := range job.items {
+		if job.items[i].state == itemRunning {
+			j.options.Queue.Add(task.StopRun{ID: job.items[i].run})
+		}
+	}
+	j.options.Queue.Log(event.JobDropped, "job", id, "reason", reason)
+}
+
+// Tick takes jobs over, starts items, and writes what is due.
+func (j *Jobs) Tick(now time.Time) {
+	j.takeOver(now)
+	for _, id := range sortedKeys(j.owned) {
+		if job := j.owned[id]; job != nil {
+			job.advance(now)
+		}
+	}
+}
+
+// NextTick returns how soon Tick has work that can't wait for the usual pace.
+func (j *Jobs) NextTick() bool { return len(j.owned) > 0 }
+
+// Stop hands the jobs over: their heads name no owner, so that another node takes
+// them at once.
+func (j *Jobs) Stop(now time.Time) {
+	j.stopping = true
+	for _, id := range sortedKeys(j.owned) {
+		j.owned[id].release(now)
+	}
+}
+
+// Owned returns how many jobs this node still has to hand over.
+func (j *Jobs) Owned() int { return len(j.owned) }
--- /dev/null
+++ b/internal/version/batch/owner.go
@@ -0,0 +1,475 @@
+package batch
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// beatEvery is how often an owner writes its head when nothing else changes it.
+	beatEvery = 600 * time.Millisecond
+	// takeoverAfter is how long a head must stand unchanged before another node takes
+	// the job, and takeoverSpread spreads the nodes that would.
+	takeoverAfter  = 1700 * time.Millisecond
+	takeoverSpread = 400 * time.Millisecond
+	// unconfirmedFor is how long an owner that can't write its head starts items.
+	unconfirmedFor = 2 * time.Second
+	// gatherFor is how long a finished item waits for others to be listed with it.
+	gatherFor = 25 * time.Millisecond
+	// listAtOnce bounds the results of one transaction.
+	listAtOnce = 60
+	// runLimit is the time granted to one run of an item.
+	runLimit = 30 * time.Second
+	// queueMargin is added to the age at which an item may be given up.
+	queueMargin = time.Second
+	// busyPause is the wait after a replica refused an item, failPause after it failed.
+	busyPause = 60 * time.Millisecond
+	failPause = 150 * time.Millisecond
+)
+
+type itemState int
+
+const (
+	itemWaiting itemState = iota
+	itemRunning
+	itemFinished
+	itemListed
+)
+
+type item struct {
+	state itemState
+	run   uint64
+	// endpoint is where it runs, or ran last.
+	endpoint string
+	avoid    string
+	notAt    time.Time
+	// events are the whole events of its text so far.
+	events     []port.ReplicaEvent
+	result     *doorstepv1.BatchResult
+	finishedAt time.Time
+}
+
+// ownedJob is a job whose items this node runs.
+type ownedJob struct {
+	jobs  *Jobs
+	id    string
+	job   *doorstepv1.BatchJob
+	head  *head
+	items []item
+	// prompts maps a group to the endpoint that holds its prompt.
+	prompts    map[string]string
+	committing bool
+	writtenAt  time.Time
+	retryAt    time.Time
+	pause      time.Duration
+	releasing  bool
+}
+
+// takeOver takes jobs whose owner is gone, or that have none.
+func (j *Jobs) takeOver(now time.Time) {
+	if j.stopping || !j.observing {
+		return
+	}
+	for _, id := range sortedKeys(j.heads) {
+		known := j.heads[id]
+		if known.Ended || known.complete() || known.mutating || now.Before(known.nextTry) || j.owned[id] != nil || !j.mayTake(now, id, known) {
+			continue
+		}
+		j.take(now, id, known)
+	}
+}
+
+func (j *Jobs) mayTake(now time.Time, id string, known *head) bool {
+	if known.Owner == j.options.Self {
+		return true
+	}
+	spread := time.Duration(xxhash.Sum64String(id+"/"+j.options.Self) % uint64(takeoverSpread))
+	unchanged := now.Sub(known.changedAt)
+	if known.Owner == "" {
+		return unchanged >= spread/2
+	}
+	// The time before the watch began says nothing of the owner.
+	return min(unchanged, now.Sub(j.observedSince)) >= takeoverAfter+spread
+}
+
+func (j *Jobs) take(now time.Time, id string, known *head) {
+	known.mutating = true
+	former := known.Owner
+	next := proto.Clone(known.BatchJobHead).(*doorstepv1.BatchJobHead)
+	next.Owner = j.options.Self
+	next.OwnerIncarnation = j.options.Incarnation
+	next.Beat++
+	j.commitHead(id, next, known.revision, nil, func(now time.Time, result port.RecordResult) {
+		known.mutating = false
+		known.nextTry = now.Add(longestPause)
+		if result.Status != port.RecordDone {
+			return
+		}
+		j.options.Queue.Log(event.JobTaken, "job", id, "former", former, "listed", next.Listed, "total", next.Total)
+		j.load(now, id, known)
+	})
+}
+
+// load reads the content of a job that was taken over.
+func (j *Jobs) load(now time.Time, id string, known *head) {
+	known.mutating = true
+	j.ReadContent(now, id, func(now time.Time, job *doorstepv1.BatchJob) {
+		known.mutating = false
+		if job == nil {
+			known.nextTry = now.Add(longestPause)
+			return
+		}
+		if current := j.heads[id]; current != nil && j.mine(current.BatchJobHead) && !current.Ended && j.owned[id] == nil {
+			j.begin(now, job, current.BatchJobHead, current.revision)
+		}
+	})
+}
+
+// begin starts the work of an owner.
+func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64) {
+	j.setHead(now, job.Id, state, revision)
+	owned := &ownedJob{
+		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
+		prompts: map[string]string{}, writtenAt: now, pause: firstPause,
+	}
+	j.owned[job.Id] = owned
+	owned.adopt(owned.head)
+	owned.advance(now)
+}
+
+// adopt takes a head that names this node as the owner: what it lists is listed.
+func (o *ownedJob) adopt(known *head) {
+	o.head = known
+	for i := range o.items {
+		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
+			o.items[i] = item{state: itemListed}
+		}
+	}
+}
+
+func listed(state *doorstepv1.BatchJobHead, index int) bool {
+	return index/8 < len(state.ListedItems) && state.ListedItems[index/8]&(1<<(index%8)) != 0
+}
+
+// advance gives up what is too old, starts items and writes what is due.
+func (o *ownedJob) advance(now time.Time) {
+	if o.head.complete() {
+		delete(o.jobs.owned, o.id)
+		o.jobs.options.Queue.Log(event.JobCompleted, "job", o.id, "total", o.head.Total)
+		return
+	}
+	o.giveUp(now)
+	if !o.releasing && now.Sub(o.writtenAt) < unconfirmedFor {
+		o.startItems(now)
+	}
+	o.write(now)
+}
+
+// giveUp ends items that were not done within the time that the route allows.
+func (o *ownedJob) giveUp(now time.Time) {
+	route := o.route()
+	if route == nil || route.MaxQueue <= 0 {
+		return
+	}
+	age := o.jobs.options.Clock(now) - time.Duration(o.head.AcceptedAtMs)*time.Millisecond
+	if age < route.MaxQueue+queueMargin {
+		return
+	}
+	for i := range o.items {
+		if o.items[i].state == itemWaiting || o.items[i].state == itemRunning {
+			o.terminate(now, i, "age")
+		}
+	}
+}
+
+func (o *ownedJob) route() *port.Route { return o.jobs.options.Route(o.job.Host, o.job.Path) }
+
+func (o *ownedJob) terminate(now time.Time, index int, reason string) {
+	one := &o.items[index]
+	if one.state == itemRunning {
+		o.jobs.options.Queue.Add(task.StopRun{ID: one.run})
+	}
+	o.jobs.options.Queue.Log(event.ItemTerminated, "job", o.id, "item", o.job.Items[index].Id, "reason", reason,
+		"failures", o.head.Failures[int32(index)])
+	one.events = nil
+	one.state = itemFinished
+	one.finishedAt = now
+	one.result = &doorstepv1.BatchResult{Id: o.job.Items[index].Id}
+}
+
+func (o *ownedJob) startItems(now time.Time) {
+	route := o.route()
+	if route == nil {
+		return
+	}
+	full := false
+	for i := range o.items {
+		one := &o.items[i]
+		if one.state != itemWaiting || now.Before(one.notAt) {
+			continue
+		}
+		if !o.start(now, i, route) {
+			// Without room for one there is none for the next, but for items that
+			// must avoid an endpoint.
+			if full {
+				return
+			}
+			full = true
+		}
+	}
+}
+
+func (o *ownedJob) start(now time.Time, index int, route *port.Route) bool {
+	one, content := &o.items[index], o.job.Items[index]
+	chosen := o.jobs.options.Place(now, Placement{
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion,
+		Prefer: o.prompts[content.Group], Avoid: one.avoid,
+	})
+	if chosen == nil {
+		return false
+	}
+	if content.Group != "" {
+		o.prompts[content.Group] = chosen.ID
+	}
+	o.jobs.runs++
+	one.run = o.jobs.runs
+	one.state = itemRunning
+	one.endpoint = chosen.ID
+	chosen.InFlight++
+	header := http.Header{}
+	for _, field := range content.Headers {
+		header.Set(field.Name, field.Value)
+	}
+	run := one.run
+	sentAt := now
+	o.jobs.options.Queue.Add(task.Run{
+		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
+		Header: header, Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
+		Done: func(now time.Time, result task.RunResult) {
+			o.jobs.account(now, chosen.ID, result, now.Sub(sentAt))
+			chosen.InFlight--
+			o.onRun(now, index, run, result)
+		},
+	})
+	return true
+}
+
+func lastEvent(events []port.ReplicaEvent) int64 {
+	if len(events) == 0 {
+		return 0
+	}
+	return events[len(events)-1].ID
+}
+
+// account tells the endpoint how its run fared.
+func (j *Jobs) account(now time.Time, id string, result task.RunResult, took time.Duration) {
+	chosen := j.options.Find(id)
+	if chosen == nil {
+		return
+	}
+	switch result.Outcome {
+	case task.RunCompleted:
+		chosen.Succeeded(result.FirstEvent)
+	case task.RunRefused:
+		chosen.Busy(now)
+	case task.RunUnreachable:
+		if chosen.Failed(now) {
+			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
+		}
+	case task.RunInterrupted, task.RunFailed, task.RunImpossible:
+	}
+}
+
+// onRun takes the end of a run.
+func (o *ownedJob) onRun(now time.Time, index int, run uint64, result task.RunResult) {
+	one := &o.items[index]
+	if o.jobs.owned[o.id] != o || one.state != itemRunning || one.run != run {
+		return
+	}
+	one.state = itemWaiting
+	one.avoid = ""
+	one.events = append(one.events, result.Events...)
+	o.learnVersions(one, result)
+	o.checkVersions(index)
+	switch result.Outcome {
+	case task.RunCompleted:
+		o.completed(now, index)
+	case task.RunInterrupted, task.RunUnreachable:
+		one.avoid = one.endpoint
+		one.notAt = now.Add(busyPause / 2)
+	case task.RunRefused:
+		one.avoid = one.endpoint
+		one.notAt = now.Add(busyPause)
+	case task.RunImpossible:
+		o.terminate(now, index, "impossible")
+	case task.RunFailed:
+		o.failed(now, index)
+	}
+	if result.Outcome != task.RunCompleted {
+		o.jobs.options.Queue.Log(event.ItemRetried, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint,
+			"outcome", int(result.Outcome), "status", result.Status, "events", len(one.events))
+	}
+	o.advance(now)
+}
+
+func (o *ownedJob) learnVersions(one *item, result task.RunResult) {
+	chosen := o.jobs.options.Find(one.endpoint)
+	if chosen == nil {
+		return
+	}
+	for _, single := range result.Events {
+		chosen.LearnVersion(o.job.Model, single.Version)
+	}
+}
+
+// checkVersions throws a text away that the job's bounds forbid.
+func (o *ownedJob) checkVersions(index int) {
+	one := &o.items[index]
+	route := o.route()
+	single := route != nil && route.SingleVersion
+	for i, made := range one.events {
+		if made.Version < o.job.MinVersion || single && made.Version != one.events[0].Version && i > 0 {
+			o.jobs.options.Queue.Log(event.TextDiscarded, "job", o.id, "item", o.job.Items[index].Id, "version", made.Version,
+				"min_version", o.job.MinVersion)
+			one.events = nil
+			return
+		}
+	}
+}
+
+func (o *ownedJob) completed(now time.Time, index int) {
+	one := &o.items[index]
+	if len(one.events) == 0 {
+		// The text was thrown away, or the stream held nothing.
+		one.avoid = one.endpoint
+		one.notAt = now.Add(busyPause)
+		return
+	}
+	result := &doorstepv1.BatchResult{Id: o.job.Items[index].Id, Completed: true}
+	message := make([]byte, 0, len(one.events)*(len(one.events[0].Data)+1))
+	for i, made := range one.events {
+		if i > 0 {
+			message = append(message, '\n')
+		}
+		message = append(message, made.Data...)
+		if !slices.Contains(result.Versions, made.Version) {
+			result.Versions = append(result.Versions, made.Version)
+		}
+	}
+	result.Message = string(message)
+	one.events = nil
+	one.result = result
+	one.state = itemFinished
+	one.finishedAt = now
+}
+
+func (o *ownedJob) failed(now time.Time, index int) {
+	one := &o.items[index]
+	if o.head.Failures == nil {
+		o.head.Failures = map[int32]int32{}
+	}
+	o.head.Failures[int32(index)]++
+	one.avoid = one.endpoint
+	one.notAt = now.Add(failPause)
+	route := o.route()
+	if route != nil && int(o.head.Failures[int32(index)]) >= max(route.MaxAttempts, 1) {
+		o.terminate(now, index, "failed at every attempt")
+	}
+}
+
+// write lists finished items, or shows that the owner lives.
+func (o *ownedJob) write(now time.Time) {
+	if o.committing || now.Before(o.retryAt) {
+		return
+	}
+	ready := o.readyItems(now)
+	if len(ready) == 0 && now.Sub(o.writtenAt) < beatEvery && !o.releasing {
+		return
+	}
+	next := proto.Clone(o.head.BatchJobHead).(*doorstepv1.BatchJobHead)
+	next.Beat++
+	var puts []port.Record
+	for _, index := range ready {
+		records := o.resultRecords(int(next.Listed), index)
+		if len(puts) > 0 && sizeOf(puts)+sizeOf(records) > transactionBytes {
+			break
+		}
+		puts = append(puts, records...)
+		next.ListedItems[index/8] |= 1 << (index % 8)
+		next.Listed++
+	}
+	if o.releasing {
+		next.Owner = ""
+	}
+	o.committing = true
+	o.jobs.commitHead(o.id, next, o.head.revision, puts, func(now time.Time, result port.RecordResult) {
+		o.onWritten(now, result)
+	})
+}
+
+// readyItems returns the finished items once the oldest has waited for others.
+func (o *ownedJob) readyItems(now time.Time) []int {
+	var ready []int
+	due := o.releasing
+	for i := range o.items {
+		if o.items[i].state != itemFinished {
+			continue
+		}
+		ready = append(ready, i)
+		due = due || now.Sub(o.items[i].finishedAt) >= gatherFor
+	}
+	if !due && len(ready) < listAtOnce {
+		return nil
+	}
+	return ready[:min(len(ready), listAtOnce)]
+}
+
+func (o *ownedJob) resultRecords(position, index int) []port.Record {
+	encoded, err := proto.Marshal(o.items[index].result)
+	if err != nil {
+		panic("a result must encode: " + err.Error())
+	}
+	return chunkRecords(encoded, func(chunk int) port.RecordKey { return resultKey(o.id, position, chunk) })
+}
+
+func sizeOf(records []port.Record) int {
+	total := 0
+	for _, record := range records {
+		total += len(record.Value)
+	}
+	return total
+}
+
+func (o *ownedJob) onWritten(now time.Time, result port.RecordResult) {
+	o.committing = false
+	if o.jobs.owned[o.id] != o {
+		return
+	}
+	switch result.Status {
+	case port.RecordDone:
+		o.writtenAt = now
+		o.pause = firstPause
+	case port.RecordConflict:
+		// The head was this node's own after all: its last write took effect.
+		o.writtenAt = now
+	default:
+		o.retryAt = now.Add(o.pause)
+		o.pause = min(2*o.pause, longestPause)
+	}
+	o.advance(now)
+}
+
+// release hands the job over with what is finished.
+func (o *ownedJob) release(now time.Time) {
+	o.releasing = true
+	o.write(now)
+}
--- /dev/null
+++ b/internal/version/recordlease/recordlease.go
@@ -0,0 +1,278 @@
+// Package recordlease keeps one holder for a duty by a record of the store.
+//
+// Validity counts from sending the renewal. A challenger waits until the record has
+// stood unchanged for longer than that, on its own clock. The fence is the record's
+// revision at the acquisition, so it rises with each holder. As back ends also want
+// some time between the acts of two holders, a new holder acts only after a pause,
+// unless the record shows that its predecessor had not acted for that long.
+package recordlease
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// Validity is how long a renewal counts after it was sent.
+	Validity = 1500 * time.Millisecond
+	// renewEvery paces the holder, pollEvery the challengers.
+	renewEvery = 500 * time.Millisecond
+	pollEvery  = 700 * time.Millisecond
+	// takeoverAfter is how long the record must stand unchanged.
+	takeoverAfter = 2 * time.Second
+	// pauseMargin is added to the pause between two holders.
+	pauseMargin = 300 * time.Millisecond
+)
+
+// Options configure a Lease.
+type Options struct {
+	Key         port.RecordKey
+	Holder      string
+	Incarnation uint64
+	Queue       *task.Queue
+	// Pause is the least time between the acts of two holders.
+	Pause time.Duration
+	// Jitter, from 0 to 1, spreads the challengers.
+	Jitter float64
+}
+
+// Lease is one node's view; it belongs to the node's loop.
+type Lease struct {
+	options Options
+
+	row      *doorstepv1.OrderLease
+	revision int64
+	known    bool
+	// changedAt is when this node saw the record change, checkedAt when it last
+	// saw the record at all.
+	changedAt, checkedAt time.Time
+
+	held       bool
+	fence      int64
+	validUntil time.Time
+	actAfter   time.Time
+	lastAct    time.Time
+	declared   bool
+	wanted     bool
+	busy       bool
+	nextAt     time.Time
+	resigned   bool
+}
+
+// New returns a lease whose record was not read yet.
+func New(options Options) *Lease {
+	return &Lease{options: options, row: &doorstepv1.OrderLease{}}
+}
+
+// Held reports whether this node holds the lease now.
+func (l *Lease) Held(now time.Time) bool { return l.held && now.Before(l.validUntil) }
+
+// Fence returns the number that orders the holders.
+func (l *Lease) Fence() int64 { return l.fence }
+
+// Holder returns the last known holder.
+func (l *Lease) Holder() string { return l.row.Holder }
+
+// Act reports whether the holder may act now, and notes that it does. The record
+// must say beforehand that the holder acts, so the first call may have to wait for a
+// renewal.
+func (l *Lease) Act(now time.Time) bool {
+	if !l.Held(now) || now.Before(l.actAfter) || l.resigned {
+		return false
+	}
+	l.wanted = true
+	if !l.declared {
+		return false
+	}
+	l.lastAct = now
+	return true
+}
+
+// Tick renews, polls or challenges.
+func (l *Lease) Tick(now time.Time) {
+	if l.held && !now.Before(l.validUntil) {
+		l.lose("not renewed in time")
+	}
+	if l.busy || now.Before(l.nextAt) && !l.mustDeclare(now) {
+		return
+	}
+	switch {
+	case l.held && l.resigned:
+		l.Resign(now)
+	case l.held:
+		l.renew(now)
+	case !l.resigned:
+		l.poll(now)
+	}
+}
+
+// mustDeclare reports whether an act waits for the record to tell of it.
+func (l *Lease) mustDeclare(now time.Time) bool { return l.Held(now) && l.wanted && !l.declared }
+
+func (l *Lease) lose(reason string) {
+	l.held = false
+	l.declared = false
+	l.options.Queue.Log(event.LeaseLost, "lease", l.options.Key.Key, "fence", l.fence, "reason", reason)
+}
+
+func (l *Lease) poll(now time.Time) {
+	l.busy = true
+	key := l.options.Key
+	l.options.Queue.Add(task.Range{
+		Query: port.RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"},
+		Done: func(now time.Time, result port.RecordResult) {
+			l.busy = false
+			l.nextAt = now.Add(pollEvery)
+			if result.Status != port.RecordDone {
+				return
+			}
+			l.observe(now, firstRecord(result))
+			if l.free(now) && !l.resigned {
+				l.acquire(now)
+			}
+		},
+	})
+}
+
+func firstRecord(result port.RecordResult) port.Record {
+	if len(result.Records) == 0 {
+		return port.Record{}
+	}
+	return result.Records[0]
+}
+
+// observe takes the record as it was read. After a time in which the record could not
+// be read, the wait for it to stand still begins anew.
+func (l *Lease) observe(now time.Time, record port.Record) {
+	gap := now.Sub(l.checkedAt) > takeoverAfter/2
+	l.checkedAt = now
+	if l.known && record.Revision == l.revision && !gap {
+		return
+	}
+	if !l.known || record.Revision != l.revision || gap {
+		l.changedAt = now
+	}
+	l.known = true
+	l.revision = record.Revision
+	row := &doorstepv1.OrderLease{}
+	if err := proto.Unmarshal(record.Value, row); err == nil {
+		l.row = row
+	}
+}
+
+func (l *Lease) free(now time.Time) bool {
+	// A record that names this node is from a former life, or from an acquisition
+	// whose answer was lost: no other process acts under it.
+	if l.row.Holder == "" || l.row.Holder == l.options.Holder {
+		return true
+	}
+	jitter := time.Duration(l.options.Jitter * float64(pollEvery))
+	return now.Sub(l.changedAt) >= takeoverAfter+jitter
+}
+
+func (l *Lease) acquire(now time.Time) {
+	former := l.row
+	pauseFrom := l.changedAt
+	if former.Holder != "" {
+		// The former holder may act for as long as its last renewal counts.
+		pauseFrom = pauseFrom.Add(Validity)
+	}
+	next := &doorstepv1.OrderLease{
+		Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1,
+		Ordering: former.Ordering,
+	}
+	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
+		if result.Status != port.RecordDone {
+			return
+		}
+		l.held = true
+		l.fence = result.Revision
+		l.validUntil = sentAt.Add(Validity)
+		l.actAfter = now
+		l.declared = false
+		if former.Ordering {
+			l.actAfter = pauseFrom.Add(l.options.Pause + pauseMargin)
+			// The record goes on saying so until the pause is over.
+			l.lastAct = l.actAfter.Add(-l.options.Pause)
+		}
+		l.options.Queue.Log(event.LeaseAcquired, "lease", l.options.Key.Key, "fence", l.fence, "former", former.Holder,
+			"acts_in_ms", l.actAfter.Sub(now).Milliseconds())
+	})
+}
+
+func (l *Lease) renew(now time.Time) {
+	next := proto.Clone(l.row).(*doorstepv1.OrderLease)
+	next.Beat++
+	next.Ordering = l.wanted || now.Sub(l.lastAct) <= l.options.Pause+pauseMargin
+	l.wanted = false
+	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
+		switch {
+		case result.Status == port.RecordDone:
+			l.validUntil = sentAt.Add(Validity)
+			l.declared = next.Ordering
+			l.nextAt = sentAt.Add(renewEvery)
+		case result.Status == port.RecordConflict:
+			l.adopt(now, firstRecord(result))
+		}
+	})
+}
+
+// adopt takes the record after a conflict: it is either this node's own renewal whose
+// answer was lost, or another holder's.
+func (l *Lease) adopt(now time.Time, record port.Record) {
+	l.observe(now, record)
+	if l.row.Holder != l.options.Holder || l.row.Incarnation != l.options.Incarnation {
+		if l.held {
+			l.lose("taken by " + l.row.Holder)
+		}
+		return
+	}
+	l.nextAt = now
+}
+
+func (l *Lease) commit(now time.Time, next *doorstepv1.OrderLease, done func(now, sentAt time.Time, result port.RecordResult)) {
+	value, err := proto.Marshal(next)
+	if err != nil {
+		panic("a lease must encode: " + err.Error())
+	}
+	l.busy = true
+	sentAt := now
+	l.options.Queue.Add(task.Commit{
+		Transaction: port.RecordTransaction{
+			Preconditions: []port.Precondition{{RecordKey: l.options.Key, Revision: l.revision}},
+			Puts:          []port.Record{{RecordKey: l.options.Key, Value: value}},
+		},
+		Done: func(now time.Time, result port.RecordResult) {
+			l.busy = false
+			l.nextAt = now.Add(retryPause)
+			if result.Status == port.RecordDone {
+				l.row = next
+				l.revision = result.Revision
+				l.changedAt = now
+				l.checkedAt = now
+			}
+			done(now, sentAt, result)
+		},
+	})
+}
+
+// retryPause is the wait after a call that brought nothing.
+const retryPause = 100 * time.Millisecond
+
+// Resign gives the lease up and never takes it again.
+func (l *Lease) Resign(now time.Time) {
+	l.resigned = true
+	if !l.held || l.busy {
+		return
+	}
+	l.held = false
+	next := &doorstepv1.OrderLease{Beat: l.row.Beat + 1, Ordering: now.Sub(l.lastAct) <= l.options.Pause+pauseMargin}
+	l.options.Queue.Log(event.LeaseReleased, "lease", l.options.Key.Key, "fence", l.fence)
+	l.commit(now, next, func(time.Time, time.Time, port.RecordResult) {})
+}
--- /dev/null
+++ b/internal/version/rollout/rollout.go
@@ -0,0 +1,269 @@
+// Package rollout brings named versions onto replicas. The holder of a lease orders
+// them; each order carries the lease's fence, the replica's incarnation and the count
+// of orders that it must have taken, so that one that is carried out late fails.
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/version/recordlease"
+)
+
+const (
+	// loadAtOnce bounds the replicas of a service that load at the same time: more
+	// would slow each other down, and the others serve.
+	loadAtOnce = 2
+	// firstLook is when a replica is asked whether it has loaded, lookEvery how often
+	// after that.
+	firstLook = 950 * time.Millisecond
+	lookEvery = 200 * time.Millisecond
+	// reportLife is how long a report may be the ground of an order.
+	reportLife = 400 * time.Millisecond
+	// doubtFor is how long an order without an answer is looked for before it is
+	// repeated, loadFor how long a load may take.
+	doubtFor = 1200 * time.Millisecond
+	loadFor  = 6 * time.Second
+	// failPause is the wait after a replica refused or gave no report.
+	failPause = 400 * time.Millisecond
+)
+
+// Options configure a Rollout.
+type Options struct {
+	Self  string
+	Queue *task.Queue
+	Lease *recordlease.Lease
+	// Endpoints returns the replicas that hold models.
+	Endpoints func() []*endpoint.Endpoint
+}
+
+// replicaState is what the holder knows of a replica's orders.
+type replicaState struct {
+	asking   bool
+	report   port.ReplicaReport
+	reportAt time.Time
+	notAt    time.Time
+	// ordered is the order under way.
+	ordered   bool
+	answered  bool
+	model     string
+	version   int64
+	sequence  int64
+	orderedAt time.Time
+}
+
+// Rollout is the machine; it belongs to the node's loop.
+type Rollout struct {
+	options  Options
+	targets  map[string]int64
+	replicas map[string]*replicaState
+}
+
+// New returns a machine that knows no version.
+func New(options Options) *Rollout {
+	return &Rollout{options: options, targets: map[string]int64{}, replicas: map[string]*replicaState{}}
+}
+
+// Name takes a version that a trainer named; lower ones are old news.
+func (r *Rollout) Name(target port.VersionTarget) {
+	if target.Version <= r.targets[target.Model] {
+		return
+	}
+	r.targets[target.Model] = target.Version
+	r.options.Queue.Log(event.VersionNamed, "model", target.Model, "version", target.Version)
+}
+
+// Target returns the newest version of a model, 0 when none was named.
+func (r *Rollout) Target(model string) int64 { return r.targets[model] }
+
+// wanted is one load that is still to be done.
+type wanted struct {
+	endpoint *endpoint.Endpoint
+	model    string
+	version  int64
+	behind   int64
+}
+
+// Tick orders what is due, if this node holds the lease.
+func (r *Rollout) Tick(now time.Time) {
+	if !r.options.Lease.Held(now) {
+		clear(r.replicas)
+		return
+	}
+	endpoints := r.options.Endpoints()
+	r.forget(endpoints)
+	loading := r.follow(now, endpoints)
+	for _, one := range r.wanted(endpoints) {
+		state := r.state(one.endpoint.ID)
+		if state.ordered || now.Before(state.notAt) || loading[one.endpoint.Service] >= loadAtOnce {
+			continue
+		}
+		loading[one.endpoint.Service]++
+		r.order(now, one, state)
+	}
+}
+
+func (r *Rollout) state(id string) *replicaState {
+	state := r.replicas[id]
+	if state == nil {
+		state = &replicaState{}
+		r.replicas[id] = state
+	}
+	return state
+}
+
+func (r *Rollout) forget(endpoints []*endpoint.Endpoint) {
+	listed := map[string]bool{}
+	for _, one := range endpoints {
+		listed[one.ID] = true
+	}
+	for id := range r.replicas {
+		if !listed[id] {
+			delete(r.replicas, id)
+		}
+	}
+}
+
+// follow looks after the orders under way and counts them by service.
+func (r *Rollout) follow(now time.Time, endpoints []*endpoint.Endpoint) map[string]int {
+	loading := map[string]int{}
+	for _, one := range endpoints {
+		state := r.replicas[one.ID]
+		if state == nil || !state.ordered {
+			continue
+		}
+		if one.Versions[state.model] >= state.version {
+			r.finish(now, one, state)
+			continue
+		}
+		if now.Sub(state.orderedAt) >= loadFor {
+			state.ordered = false
+			state.notAt = now.Add(failPause)
+			continue
+		}
+		loading[one.Service]++
+		if !state.asking && !now.Before(state.notAt) {
+			r.ask(one, state)
+		}
+	}
+	return loading
+}
+
+func (r *Rollout) finish(now time.Time, one *endpoint.Endpoint, state *replicaState) {
+	state.ordered = false
+	one.SetLoading(time.Time{})
+	r.options.Queue.Log(event.VersionLoaded, "replica", one.ID, "model", state.model, "version", state.version,
+		"took_ms", now.Sub(state.orderedAt).Milliseconds())
+}
+
+// wanted lists the loads still to be done: those furthest behind first, then the
+// replicas with the least to do.
+func (r *Rollout) wanted(endpoints []*endpoint.Endpoint) []wanted {
+	var list []wanted
+	for _, one := range endpoints {
+		if one.Draining {
+			continue
+		}
+		for model, version := range one.Versions {
+			if target := r.targets[model]; version < target {
+				list = append(list, wanted{endpoint: one, model: model, version: target, behind: target - version})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight),
+			cmp.Compare(a.endpoint.ID, b.endpoint.ID), cmp.Compare(a.model, b.model))
+	})
+	return list
+}
+
+// ask asks a replica for its state.
+func (r *Rollout) ask(one *endpoint.Endpoint, state *replicaState) {
+	state.asking = true
+	r.options.Queue.Add(task.Report{Replica: one.ID, Address: one.Address, Done: func(now time.Time, report port.ReplicaReport) {
+		state.asking = false
+		if !report.OK {
+			state.notAt = now.Add(failPause)
+			return
+		}
+		state.report = report
+		state.reportAt = now
+		for model, version := range report.Versions {
+			one.LearnVersion(model, version)
+		}
+		state.notAt = now
+		if state.ordered {
+			state.notAt = now.Add(lookEvery)
+			r.judge(now, state, report)
+			if report.Loading {
+				one.SetLoading(now.Add(2 * lookEvery))
+			}
+		}
+		r.Tick(now)
+	}})
+}
+
+// judge takes a report on an order under way. Reports lag, so an order without an
+// answer is held for lost only after a while.
+func (r *Rollout) judge(now time.Time, state *replicaState, report port.ReplicaReport) {
+	taken := report.Loading || report.Sequence > state.sequence
+	if !state.answered && !taken && now.Sub(state.orderedAt) >= doubtFor {
+		state.ordered = false
+	}
+}
+
+// order sends an order, on the ground of a fresh report.
+func (r *Rollout) order(now time.Time, one wanted, state *replicaState) {
+	if state.asking {
+		return
+	}
+	if now.Sub(state.reportAt) > reportLife || !state.reportAt.After(state.orderedAt) {
+		r.ask(one.endpoint, state)
+		return
+	}
+	if state.report.Loading {
+		state.notAt = now.Add(lookEvery)
+		state.reportAt = time.Time{}
+		return
+	}
+	if !r.options.Lease.Act(now) {
+		return
+	}
+	state.ordered = true
+	state.answered = false
+	state.model = one.model
+	state.version = one.version
+	state.sequence = state.report.Sequence
+	state.orderedAt = now
+	state.notAt = now.Add(firstLook)
+	one.endpoint.SetLoading(now.Add(firstLook))
+	r.options.Queue.Add(task.Order{
+		Order: port.OrderVersion{
+			Replica: one.endpoint.ID, Address: one.endpoint.Address, Model: one.model, Version: one.version,
+			Holder: r.options.Self, Fence: r.options.Lease.Fence(), ExpectedSequence: state.sequence,
+		},
+		Done: func(now time.Time, status port.VersionOrderStatus) { r.onOrder(now, one, state, status) },
+	})
+}
+
+func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, status port.VersionOrderStatus) {
+	r.options.Queue.Log(event.VersionOrdered, "replica", one.endpoint.ID, "model", one.model, "version", one.version,
+		"fence", r.options.Lease.Fence(), "sequence", state.sequence, "status", int(status))
+	switch status {
+	case port.VersionOrderAccepted:
+		state.answered = true
+	case port.VersionOrderHeld:
+		one.endpoint.LearnVersion(one.model, one.version)
+	case port.VersionOrderUnknown:
+		state.notAt = now.Add(lookEvery)
+	case port.VersionOrderConflict, port.VersionOrderFenced, port.VersionOrderRefused:
+		state.ordered = false
+		state.notAt = now.Add(failPause)
+		one.endpoint.SetLoading(time.Time{})
+	}
+}
--- /dev/null
+++ b/internal/version/routes/routes.go
@@ -0,0 +1,131 @@
+// Package routes finds the route of a request in one version of the configuration.
+package routes
+
+import (
+	"cmp"
+	"math"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+// Table is one version of the configuration, ready for look-ups. It never changes.
+type Table struct {
+	version  int64
+	byHost   map[string][]*port.Route
+	services map[string]port.Service
+	limits   port.IngressLimits
+}
+
+// New prepares a version of the configuration.
+func New(from *port.RouteTable) *Table {
+	table := &Table{version: from.Version, byHost: map[string][]*port.Route{}, services: map[string]port.Service{}, limits: from.Limits}
+	for i := range from.Routes {
+		route := &from.Routes[i]
+		host := normalHost(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, list := range table.byHost {
+		slices.SortStableFunc(list, func(a, b *port.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for _, service := range from.Services {
+		table.services[service.Name] = service
+	}
+	return table
+}
+
+// Version returns the configuration's version.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns what clients may send.
+func (t *Table) Limits() port.IngressLimits { return t.limits }
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (port.Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// Services returns all services in the order of their names.
+func (t *Table) Services() []port.Service {
+	var list []port.Service
+	for _, service := range t.services {
+		list = append(list, service)
+	}
+	slices.SortFunc(list, func(a, b port.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Match returns the route of a host with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *port.Route {
+	for _, route := range t.byHost[normalHost(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// normalHost drops a port and the case, neither of which tells hosts apart.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// goldenRatio steps through the unit interval so that any run of steps covers it
+// evenly.
+const goldenRatio = 0.6180339887498949
+
+// Splitter deals the requests of each route to its backends by weight. Its draws are
+// spread evenly rather than at random, so that few requests suffice for the shares.
+type Splitter struct {
+	start     float64
+	positions map[string]float64
+}
+
+// NewSplitter returns a splitter; start, from 0 to 1, differs from node to node.
+func NewSplitter(start float64) *Splitter {
+	return &Splitter{start: start, positions: map[string]float64{}}
+}
+
+// Order returns the backends with a weight in the order in which a request tries them:
+// the one whose turn it is, then the others by weight.
+func (s *Splitter) Order(route *port.Route) []string {
+	total := 0.0
+	for _, backend := range route.Backends {
+		total += backend.Weight
+	}
+	position, ok := s.positions[route.Name]
+	if !ok {
+		position = s.start
+	}
+	_, position = math.Modf(position + goldenRatio)
+	s.positions[route.Name] = position
+	first := -1
+	reached := 0.0
+	var rest []port.Backend
+	for i, backend := range route.Backends {
+		if backend.Weight <= 0 {
+			continue
+		}
+		reached += backend.Weight
+		if first < 0 && position*total < reached {
+			first = i
+			continue
+		}
+		rest = append(rest, backend)
+	}
+	slices.SortStableFunc(rest, func(a, b port.Backend) int { return cmp.Compare(b.Weight, a.Weight) })
+	var order []string
+	if first >= 0 {
+		order = append(order, route.Backends[first].Service)
+	}
+	for _, backend := range rest {
+		order = append(order, backend.Service)
+	}
+	return order
+}
