A replica moves at every second version; loads hold up their own model only

Change: replicas two versions behind must move, others only until half have the newest; an endpoint counts as loading for the model that it loads.

--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// firstEventWithin and nextEventWithin are how long a run may be silent.
-	firstEventWithin = 4 * time.Second
-	nextEventWithin  = 2500 * time.Millisecond
 	// controlTimeout bounds orders and reports, controlBytes their answers.
 	controlTimeout = 900 * time.Millisecond
 	controlBytes   = 1 << 20
@@ -41,7 +38,7 @@
 	if t.After > 0 {
 		a.protocol.Resume(header, strconv.FormatInt(t.After, 10))
 	}
-	silence := time.AfterFunc(firstEventWithin, cancel)
+	silence := time.AfterFunc(t.FirstWithin, cancel)
 	defer silence.Stop()
 	startedAt := time.Now()
 	answer, err := a.upstream.Do(ctx, &upstream.Call{
@@ -70,7 +67,7 @@
 			result.Outcome = task.RunInterrupted
 			return result
 		}
-		silence.Reset(nextEventWithin)
+		silence.Reset(t.NextWithin)
 		if one.Version > 0 {
 			version = one.Version
 		}
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -37,7 +37,7 @@
 	ejections    int
 	ejectedUntil time.Time
 	latency      time.Duration
-	loadingUntil time.Time
+	loading      map[string]time.Time
 }
 
 // Load returns the requests that are known to be at the endpoint: this node's own,
@@ -52,11 +52,17 @@
 // Ejected reports whether failures keep the endpoint out for now.
 func (e *Endpoint) Ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
 
-// Loading reports whether the endpoint is thought to load a version.
-func (e *Endpoint) Loading(now time.Time) bool { return now.Before(e.loadingUntil) }
+// Loading reports whether the endpoint is thought to load a version of a model; it
+// goes on serving its other models.
+func (e *Endpoint) Loading(now time.Time, model string) bool { return now.Before(e.loading[model]) }
 
-// SetLoading notes that the endpoint takes no new requests until then.
-func (e *Endpoint) SetLoading(until time.Time) { e.loadingUntil = until }
+// SetLoading notes that the endpoint takes no new requests for a model until then.
+func (e *Endpoint) SetLoading(model string, until time.Time) {
+	if e.loading == nil {
+		e.loading = map[string]time.Time{}
+	}
+	e.loading[model] = until
+}
 
 // LearnVersion takes a version that the endpoint named; versions only rise.
 func (e *Endpoint) LearnVersion(model string, version int64) {
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -61,8 +61,8 @@
 // NotEjected drops endpoints that failed lately.
 func NotEjected(q *Query, e *Endpoint) bool { return q.AllowEjected || !e.Ejected(q.Now) }
 
-// NotLoading drops endpoints that load a version.
-func NotLoading(q *Query, e *Endpoint) bool { return !e.Loading(q.Now) }
+// NotLoading drops endpoints that load a version of the model.
+func NotLoading(q *Query, e *Endpoint) bool { return !e.Loading(q.Now, q.Model) }
 
 // VersionReached drops endpoints whose weights are too old.
 func VersionReached(q *Query, e *Endpoint) bool {
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -41,7 +41,10 @@
 	Limit time.Duration
 	// After is the id of the event to continue behind, 0 for the beginning.
 	After int64
-	Done  func(now time.Time, result RunResult)
+	// FirstWithin and NextWithin are how long the run may be silent before its first
+	// event and between two.
+	FirstWithin, NextWithin time.Duration
+	Done                    func(now time.Time, result RunResult)
 }
 
 // StopRun cancels a run; its Done is called as for any other end.
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -36,6 +36,15 @@
 	failPause = 150 * time.Millisecond
 )
 
+// Silences after which a run is continued at another replica. Continuing costs little,
+// while a silent replica may load a version, or be gone. Each interruption doubles the
+// patience with an item, so that a deployment that is slow as a whole is waited for.
+const (
+	firstSilence   = 1000 * time.Millisecond
+	nextSilence    = 300 * time.Millisecond
+	longestSilence = 4 * time.Second
+)
+
 type itemState int
 
 const (
@@ -56,6 +65,8 @@
 	events     []port.ReplicaEvent
 	result     *doorstepv1.BatchResult
 	finishedAt time.Time
+	// interruptions counts the runs that broke off.
+	interruptions int
 }
 
 // ownedJob is a job whose items this node runs.
@@ -254,6 +265,7 @@
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
 		Header: header, Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
+		FirstWithin: patience(firstSilence, one.interruptions), NextWithin: o.nextSilence(one, route),
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.account(now, chosen.ID, result, now.Sub(sentAt))
 			chosen.InFlight--
@@ -263,6 +275,20 @@
 	return true
 }
 
+// patience doubles a silence with each interruption.
+func patience(silence time.Duration, interruptions int) time.Duration {
+	return min(silence<<min(interruptions, 4), longestSilence)
+}
+
+// nextSilence is how long a run may be silent between two events. A text that one
+// version has to make can't be continued elsewhere with any certainty.
+func (o *ownedJob) nextSilence(one *item, route *port.Route) time.Duration {
+	if route.SingleVersion {
+		return longestSilence
+	}
+	return patience(nextSilence, one.interruptions)
+}
+
 func lastEvent(events []port.ReplicaEvent) int64 {
 	if len(events) == 0 {
 		return 0
@@ -305,6 +331,7 @@
 		o.completed(now, index)
 	case task.RunInterrupted, task.RunUnreachable:
 		one.avoid = one.endpoint
+		one.interruptions++
 		one.notAt = now.Add(busyPause / 2)
 	case task.RunRefused:
 		one.avoid = one.endpoint
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -156,30 +156,66 @@
 
 func (r *Rollout) finish(now time.Time, one *endpoint.Endpoint, state *replicaState) {
 	state.ordered = false
-	one.SetLoading(time.Time{})
+	one.SetLoading(state.model, time.Time{})
 	r.options.Queue.Log(event.VersionLoaded, "replica", one.ID, "model", state.model, "version", state.version,
 		"took_ms", now.Sub(state.orderedAt).Milliseconds())
 }
 
-// wanted lists the loads still to be done: those furthest behind first, then the
-// replicas with the least to do.
+// wanted lists the loads still to be done. A model's steps take its newest version
+// and the one before, so each replica moves at every second version only: those that
+// are two behind must move; of the others so many move that half have the newest.
 func (r *Rollout) wanted(endpoints []*endpoint.Endpoint) []wanted {
 	var list []wanted
+	for _, model := range r.models() {
+		list = append(list, r.wantedOf(model, endpoints)...)
+	}
+	slices.SortStableFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight))
+	})
+	return list
+}
+
+func (r *Rollout) models() []string {
+	models := make([]string, 0, len(r.targets))
+	for model := range r.targets {
+		models = append(models, model)
+	}
+	slices.Sort(models)
+	return models
+}
+
+// wantedOf lists the loads of one model.
+func (r *Rollout) wantedOf(model string, endpoints []*endpoint.Endpoint) []wanted {
+	target := r.targets[model]
+	var must, may []wanted
+	holders, newest := 0, 0
 	for _, one := range endpoints {
-		if one.Draining {
+		version, holds := one.Versions[model]
+		if !holds || one.Draining {
 			continue
 		}
-		for model, version := range one.Versions {
-			if target := r.targets[model]; version < target {
-				list = append(list, wanted{endpoint: one, model: model, version: target, behind: target - version})
-			}
+		holders++
+		load := wanted{endpoint: one, model: model, version: target, behind: target - version}
+		switch {
+		case load.behind <= 0 || r.underWay(load):
+			newest++
+		case load.behind == 1:
+			may = append(may, load)
+		default:
+			must = append(must, load)
 		}
 	}
-	slices.SortFunc(list, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight),
-			cmp.Compare(a.endpoint.ID, b.endpoint.ID), cmp.Compare(a.model, b.model))
+	slices.SortFunc(may, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
-	return list
+	more := min(max(holders/2-newest-len(must), 0), len(may))
+	return append(must, may[:more]...)
+}
+
+// underWay reports whether a load is ordered already.
+func (r *Rollout) underWay(load wanted) bool {
+	state := r.replicas[load.endpoint.ID]
+	return state != nil && state.ordered && state.model == load.model && state.version == load.version
 }
 
 // ask asks a replica for its state.
@@ -201,7 +237,7 @@
 			state.notAt = now.Add(lookEvery)
 			r.judge(now, state, report)
 			if report.Loading {
-				one.SetLoading(now.Add(2 * lookEvery))
+				one.SetLoading(state.model, now.Add(2*lookEvery))
 			}
 		}
 		r.Tick(now)
@@ -241,7 +277,7 @@
 	state.sequence = state.report.Sequence
 	state.orderedAt = now
 	state.notAt = now.Add(firstLook)
-	one.endpoint.SetLoading(now.Add(firstLook))
+	one.endpoint.SetLoading(one.model, now.Add(firstLook))
 	r.options.Queue.Add(task.Order{
 		Order: port.OrderVersion{
 			Replica: one.endpoint.ID, Address: one.endpoint.Address, Model: one.model, Version: one.version,
@@ -264,6 +300,6 @@
 	case port.VersionOrderConflict, port.VersionOrderFenced, port.VersionOrderRefused:
 		state.ordered = false
 		state.notAt = now.Add(failPause)
-		one.endpoint.SetLoading(time.Time{})
+		one.endpoint.SetLoading(one.model, time.Time{})
 	}
 }
