Long texts seek the fastest replica; slow runs go on elsewhere; texts of cut items are kept

Cause: a step waits for its longest items: up to 189 events, one after the other. Ruled out: waiting for places (first events come within 50 ms) and loads (interruptions 0).

Change: endpoints have a pace, learned from runs while they run; items with the longest hints, and those that were slow, go where the pace is best; a run moves where a replica with room is 1.2 times as fast. Texts of cut items go to the store: nearly all come back too old for the later step's min_version and are thrown away, so they serve planned stops only.

--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -111,7 +111,7 @@
 func (m *metrics) run(outcome task.RunOutcome) {
 	names := map[task.RunOutcome]string{
 		task.RunCompleted: "completed", task.RunInterrupted: "interrupted", task.RunFailed: "failed",
-		task.RunImpossible: "impossible", task.RunRefused: "refused", task.RunUnreachable: "unreachable",
+		task.RunImpossible: "impossible", task.RunRefused: "refused", task.RunUnreachable: "unreachable", task.RunSlow: "slow",
 	}
 	m.runs.WithLabelValues(names[outcome]).Inc()
 }
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -55,28 +55,90 @@
 		_, _ = io.Copy(io.Discard, answer)
 		return result
 	}
-	events := a.protocol.NewEventReader(answer)
-	version := a.protocol.Version(answer.Header)
-	last := t.After
+	reading := runReading{events: a.protocol.NewEventReader(answer), version: a.protocol.Version(answer.Header), last: t.After}
 	for {
-		one, err := events.Next()
+		one, err := reading.next()
+		result.Pace = reading.pace()
 		if errors.Is(err, io.EOF) {
 			return result
 		}
-		if err != nil || one.ID != last+1 {
+		if err != nil {
 			result.Outcome = task.RunInterrupted
 			return result
 		}
 		silence.Reset(t.NextWithin)
-		if one.Version > 0 {
-			version = one.Version
-		}
-		last = one.ID
 		if len(result.Events) == 0 {
 			result.FirstEvent = time.Since(startedAt)
 		}
-		result.Events = append(result.Events, port.ReplicaEvent{ID: one.ID, Data: one.Data, Version: version})
+		result.Events = append(result.Events, one)
+		if reading.due() && a.tooSlow(t, result.Pace) {
+			result.Outcome = task.RunSlow
+			return result
+		}
+	}
+}
+
+func (a *Agent) tooSlow(t task.Run, pace time.Duration) bool {
+	stop := false
+	a.do(func(now time.Time) { stop = t.Progress(now, pace) })
+	return stop
+}
+
+const (
+	// pauseGap is the time between two events above which it is no matter of pace.
+	pauseGap = 200 * time.Millisecond
+	// steadyGaps is how many times between events make a pace.
+	steadyGaps = 10
+)
+
+// runReading reads the events of a run: each must follow the one before.
+type runReading struct {
+	events  port.EventReader
+	version int64
+	last    int64
+	lastAt  time.Time
+	gaps    int
+	total   time.Duration
+	toldAt  int
+}
+
+// due reports whether the pace is to be told: every few events.
+func (r *runReading) due() bool {
+	if r.gaps-r.toldAt < steadyGaps {
+		return false
+	}
+	r.toldAt = r.gaps
+	return true
+}
+
+// next returns the next event with the version that made it.
+func (r *runReading) next() (port.ReplicaEvent, error) {
+	one, err := r.events.Next()
+	if err != nil {
+		return one, err
+	}
+	if one.ID != r.last+1 {
+		return one, errEventMissing
+	}
+	now := time.Now()
+	if gap := now.Sub(r.lastAt); !r.lastAt.IsZero() && gap < pauseGap {
+		r.gaps++
+		r.total += gap
+	}
+	r.last = one.ID
+	r.lastAt = now
+	if one.Version > 0 {
+		r.version = one.Version
+	}
+	return port.ReplicaEvent{ID: one.ID, Data: one.Data, Version: r.version}, nil
+}
+
+// pace returns the mean time between two events, 0 while there are too few.
+func (r *runReading) pace() time.Duration {
+	if r.gaps < steadyGaps {
+		return 0
 	}
+	return r.total / time.Duration(r.gaps)
 }
 
 func runOutcome(status int, notExecuted bool) task.RunOutcome {
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
@@ -43,6 +44,7 @@
 type DeploymentDecoder interface {
 	DeploymentTables() []string
 	DecodeDeployment(records []port.Record) (port.Deployment, error)
+	LengthHint(header http.Header) int
 }
 
 // Options configure a Node.
@@ -88,6 +90,7 @@
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
 		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.storeClock,
+		LengthHint: options.Decoder.LengthHint,
 	})
 	n.lease = recordlease.New(recordlease.Options{
 		Key:    port.RecordKey{Table: leaseTable, Partition: "leases", Key: "version-orders"},
@@ -288,9 +291,25 @@
 	if wanted.Avoid != "" {
 		query.Exclude = map[string]bool{wanted.Avoid: true}
 	}
+	query.BestPace = n.bestPace(now, wanted.Route)
+	if wanted.Long {
+		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
+	}
 	return n.pick(&endpoint.Rollouts, query, wanted.Route)
 }
 
+// bestPace returns the least time between two events of runs on a route's replicas.
+func (n *Node) bestPace(now time.Time, route *port.Route) time.Duration {
+	best := time.Duration(0)
+	for _, backend := range route.Backends {
+		pace := endpoint.BestPace(now, n.endpoints.Service(backend.Service))
+		if best == 0 || pace > 0 && pace < best {
+			best = pace
+		}
+	}
+	return best
+}
+
 // Choose chooses an endpoint for a caller's request that has been to those excluded.
 func (n *Node) Choose(now time.Time, route *port.Route, model string, exclude map[string]bool) *endpoint.Endpoint {
 	query := n.query(now)
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -21,6 +21,9 @@
 	ejectLongest = 4 * time.Second
 	// latencyWeight is the part of the newest latency in the running mean.
 	latencyWeight = 0.2
+	// paceWeight is the part of the newest pace, paceLife how long a pace counts.
+	paceWeight = 0.3
+	paceLife   = 5 * time.Second
 )
 
 // Endpoint is one incarnation of a replica.
@@ -38,6 +41,8 @@
 	ejectedUntil time.Time
 	latency      time.Duration
 	loading      map[string]time.Time
+	pace         time.Duration
+	pacedAt      time.Time
 }
 
 // Load returns the requests that are known to be at the endpoint: this node's own,
@@ -93,6 +98,27 @@
 	e.latency += time.Duration(latencyWeight * float64(latency-e.latency))
 }
 
+// LearnPace takes the mean time between two events of a run.
+func (e *Endpoint) LearnPace(now time.Time, pace time.Duration) {
+	if pace <= 0 {
+		return
+	}
+	if e.pace == 0 || now.Sub(e.pacedAt) > paceLife {
+		e.pace = pace
+	} else {
+		e.pace += time.Duration(paceWeight * float64(pace-e.pace))
+	}
+	e.pacedAt = now
+}
+
+// Pace returns the usual time between two events, 0 when it is not known.
+func (e *Endpoint) Pace(now time.Time) time.Duration {
+	if now.Sub(e.pacedAt) > paceLife {
+		return 0
+	}
+	return e.pace
+}
+
 // Failed notes an attempt that broke; it reports whether the endpoint was ejected.
 func (e *Endpoint) Failed(now time.Time) bool {
 	e.failures++
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -16,6 +16,9 @@
 	Prefer string
 	// Room is how many requests, as a multiple of its slots, an endpoint may hold.
 	Room float64
+	// BestPace is the least time between two events among the candidates' runs, 0 when
+	// none is known.
+	BestPace time.Duration
 	// AllowEjected also takes endpoints that failed lately.
 	AllowEjected bool
 	// Rotation breaks ties; it differs from choice to choice.
@@ -40,7 +43,9 @@
 }
 
 // Requests is the profile for callers' requests. Rollouts is the one for items of
-// batch jobs, which seek the endpoint that holds their prompt.
+// batch jobs, which seek the endpoint that holds their prompt. LongRollouts is for
+// items whose text is long: these decide when a job is whole, so they seek the endpoint
+// that makes events fastest.
 var (
 	Requests = Profile{
 		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
@@ -48,7 +53,11 @@
 	}
 	Rollouts = Profile{
 		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
-		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 1}, {Preferred, 3}, {SameZone, 0.5}},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Steady, 1}, {Preferred, 3}, {SameZone, 0.5}},
+	}
+	LongRollouts = Profile{
+		filters: Rollouts.filters,
+		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 2}, {SameZone, 0.1}},
 	}
 )
 
@@ -88,6 +97,28 @@
 	return float64(typicalLatency) / float64(typicalLatency+e.latency)
 }
 
+// Steady falls from 1, for the endpoint whose runs make events fastest, towards 0 for
+// slower ones. One whose pace is not known rates as the fastest, so that it is tried.
+func Steady(q *Query, e *Endpoint) float64 {
+	pace := e.Pace(q.Now)
+	if pace == 0 || q.BestPace == 0 {
+		return 1
+	}
+	return min(float64(q.BestPace)/float64(pace), 1)
+}
+
+// BestPace returns the least known time between two events, 0 when none is known.
+func BestPace(now time.Time, candidates []*Endpoint) time.Duration {
+	best := time.Duration(0)
+	for _, one := range candidates {
+		pace := one.Pace(now)
+		if pace > 0 && (best == 0 || pace < best) && !one.Draining && !one.Ejected(now) {
+			best = pace
+		}
+	}
+	return best
+}
+
 // SameZone is 1 in the node's own zone, 0 elsewhere.
 func SameZone(q *Query, e *Endpoint) float64 {
 	if e.Zone == q.Zone {
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -44,7 +44,10 @@
 	// FirstWithin and NextWithin are how long the run may be silent before its first
 	// event and between two.
 	FirstWithin, NextWithin time.Duration
-	Done                    func(now time.Time, result RunResult)
+	// Progress is told now and then how fast the run makes events; it returns whether
+	// the run is to be stopped as RunSlow.
+	Progress func(now time.Time, pace time.Duration) (stop bool)
+	Done     func(now time.Time, result RunResult)
 }
 
 // StopRun cancels a run; its Done is called as for any other end.
@@ -64,6 +67,8 @@
 	RunImpossible
 	// RunRefused means that it did not run: the replica is full or loads.
 	RunRefused
+	// RunSlow means that it was stopped as its events came too slowly.
+	RunSlow
 	// RunUnreachable means that the replica could not be reached.
 	RunUnreachable
 )
@@ -75,6 +80,8 @@
 	Events  []port.ReplicaEvent
 	// FirstEvent is how long the first event took.
 	FirstEvent time.Duration
+	// Pace is the mean time between two events, 0 when there were too few.
+	Pace time.Duration
 }
 
 // Order sends an order to a replica.
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -48,6 +48,11 @@
 	return keys
 }
 
+// sortByLength sorts indexes by a length, longest first; equal ones by index.
+func sortByLength(indexes []int, length func(index int) int) {
+	slices.SortFunc(indexes, func(a, b int) int { return cmp.Or(cmp.Compare(length(b), length(a)), cmp.Compare(a, b)) })
+}
+
 // acceptance is one client's try to hand a job in.
 type acceptance struct {
 	jobs     *Jobs
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,8 @@
 	MinVersion int64
 	// Prefer is the endpoint that holds the item's prompt, Avoid one that failed it.
 	Prefer, Avoid string
+	// Long texts decide when the job is whole.
+	Long bool
 }
 
 // Options configure Jobs.
@@ -72,6 +75,8 @@
 	Random      *rand.Rand
 	// Place chooses an endpoint, nil when none has room.
 	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
+	// LengthHint returns the tokens that a request's header says it will make.
+	LengthHint func(header http.Header) int
 	// Find returns an endpoint that is still listed.
 	Find func(id string) *endpoint.Endpoint
 	// Route returns the route of a host and path under the configuration in force.
@@ -160,7 +165,7 @@
 func (j *Jobs) OnHead(now time.Time, record port.Record) {
 	if record.Deleted {
 		delete(j.heads, record.Key)
-		j.drop(record.Key, "the job is gone")
+		j.drop(now, record.Key, "the job is gone")
 		return
 	}
 	known := j.heads[record.Key]
@@ -192,9 +197,9 @@
 	switch job := j.owned[id]; {
 	case job == nil:
 	case decoded.Ended:
-		j.drop(id, "the job was ended")
+		j.drop(now, id, "the job was ended")
 	case !j.mine(decoded):
-		j.drop(id, "owned by "+decoded.Owner)
+		j.drop(now, id, "owned by "+decoded.Owner)
 	default:
 		job.adopt(known)
 	}
@@ -204,19 +209,16 @@
 	return decoded.Owner == j.options.Self && decoded.OwnerIncarnation == j.options.Incarnation
 }
 
-// drop stops all work on a job.
-func (j *Jobs) drop(id, reason string) {
+// drop stops all work on a job; texts that were begun are kept.
+func (j *Jobs) drop(now time.Time, id, reason string) {
 	job := j.owned[id]
 	if job == nil {
 		return
 	}
 	delete(j.owned, id)
-	for i := range job.items {
-		if job.items[i].state == itemRunning {
-			j.options.Queue.Add(task.StopRun{ID: job.items[i].run})
-		}
-	}
 	j.options.Queue.Log(event.JobDropped, "job", id, "reason", reason)
+	job.closing = true
+	job.stopRuns(now)
 }
 
 // Tick takes jobs over, starts items, and writes what is due.
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -31,6 +31,12 @@
 	runLimit = 30 * time.Second
 	// queueMargin is added to the age at which an item may be given up.
 	queueMargin = time.Second
+	// slowFactor, times a faster replica's pace, is where a run is moved there;
+	// movesAtMost bounds that for an item.
+	slowFactor  = 1.2
+	movesAtMost = 2
+	// longPart is the part of a job's items, one in so many, that count as long.
+	longPart = 5
 	// busyPause is the wait after a replica refused an item, failPause after it failed.
 	busyPause = 60 * time.Millisecond
 	failPause = 150 * time.Millisecond
@@ -65,8 +71,14 @@
 	events     []port.ReplicaEvent
 	result     *doorstepv1.BatchResult
 	finishedAt time.Time
-	// interruptions counts the runs that broke off.
-	interruptions int
+	// startedAt is when its first run was sent, runs counts them.
+	startedAt time.Time
+	runs      int
+	// interruptions counts the runs that broke off, moves those that were slow.
+	interruptions, moves int
+	// header is the request's, long tells that its text is among the longest.
+	header http.Header
+	long   bool
 }
 
 // ownedJob is a job whose items this node runs.
@@ -76,13 +88,23 @@
 	job   *doorstepv1.BatchJob
 	head  *head
 	items []item
+	// order is that in which items start, the longest first.
+	order []int
 	// prompts maps a group to the endpoint that holds its prompt.
 	prompts    map[string]string
 	committing bool
 	writtenAt  time.Time
 	retryAt    time.Time
 	pause      time.Duration
-	releasing  bool
+	// startAfter is when items may start.
+	startAfter time.Time
+	// openRuns counts runs whose end is still to come.
+	openRuns int
+	// releasing is set while the job is handed over, closing once it is dropped; both
+	// wait for the open runs to bring in their texts.
+	releasing, closing, saved bool
+	// handOver is set once the head may name no owner.
+	handOver bool
 }
 
 // takeOver takes jobs whose owner is gone, or that have none.
@@ -153,16 +175,38 @@
 		prompts: map[string]string{}, writtenAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
+	owned.prepare()
 	owned.adopt(owned.head)
+	owned.readTexts(now)
 	owned.advance(now)
 }
 
+// prepare reads the items' headers, and marks those that are expected to be longest.
+func (o *ownedJob) prepare() {
+	hints := make([]int, len(o.items))
+	order := make([]int, len(o.items))
+	for i, content := range o.job.Items {
+		header := http.Header{}
+		for _, field := range content.Headers {
+			header.Set(field.Name, field.Value)
+		}
+		o.items[i].header = header
+		hints[i] = o.jobs.options.LengthHint(header)
+		order[i] = i
+	}
+	sortByLength(order, func(index int) int { return hints[index] })
+	for _, index := range order[:len(order)/longPart] {
+		o.items[index].long = hints[index] > 0
+	}
+	o.order = order
+}
+
 // adopt takes a head that names this node as the owner: what it lists is listed.
 func (o *ownedJob) adopt(known *head) {
 	o.head = known
 	for i := range o.items {
 		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
-			o.items[i] = item{state: itemListed}
+			o.items[i] = item{state: itemListed, run: o.items[i].run}
 		}
 	}
 }
@@ -179,7 +223,7 @@
 		return
 	}
 	o.giveUp(now)
-	if !o.releasing && now.Sub(o.writtenAt) < unconfirmedFor {
+	if !o.releasing && now.Sub(o.writtenAt) < unconfirmedFor && !now.Before(o.startAfter) {
 		o.startItems(now)
 	}
 	o.write(now)
@@ -223,7 +267,7 @@
 		return
 	}
 	full := false
-	for i := range o.items {
+	for _, i := range o.order {
 		one := &o.items[i]
 		if one.state != itemWaiting || now.Before(one.notAt) {
 			continue
@@ -243,12 +287,12 @@
 	one, content := &o.items[index], o.job.Items[index]
 	chosen := o.jobs.options.Place(now, Placement{
 		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion,
-		Prefer: o.prompts[content.Group], Avoid: one.avoid,
+		Prefer: o.prompts[content.Group], Avoid: one.avoid, Long: one.long,
 	})
 	if chosen == nil {
 		return false
 	}
-	if content.Group != "" {
+	if content.Group != "" && !one.long {
 		o.prompts[content.Group] = chosen.ID
 	}
 	o.jobs.runs++
@@ -256,19 +300,22 @@
 	one.state = itemRunning
 	one.endpoint = chosen.ID
 	chosen.InFlight++
-	header := http.Header{}
-	for _, field := range content.Headers {
-		header.Set(field.Name, field.Value)
+	o.openRuns++
+	one.runs++
+	if one.runs == 1 {
+		one.startedAt = now
 	}
 	run := one.run
 	sentAt := now
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
-		Header: header, Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
+		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
 		FirstWithin: patience(firstSilence, one.interruptions), NextWithin: o.nextSilence(one, route),
+		Progress: func(now time.Time, pace time.Duration) bool { return o.onProgress(now, index, run, pace) },
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.account(now, chosen.ID, result, now.Sub(sentAt))
 			chosen.InFlight--
+			o.openRuns--
 			o.onRun(now, index, run, result)
 		},
 	})
@@ -289,6 +336,24 @@
 	return patience(nextSilence, one.interruptions)
 }
 
+// onProgress learns how fast a run makes events, and decides whether it is to go on
+// elsewhere: only if there is a clearly faster replica with room. Moving a run costs its
+// prompt and text read anew, so it is done a few times at most.
+func (o *ownedJob) onProgress(now time.Time, index int, run uint64, pace time.Duration) bool {
+	one := &o.items[index]
+	if chosen := o.jobs.options.Find(one.endpoint); chosen != nil && one.run == run {
+		chosen.LearnPace(now, pace)
+	}
+	route := o.route()
+	if one.state != itemRunning || one.run != run || route == nil || route.SingleVersion || one.moves >= movesAtMost {
+		return false
+	}
+	better := o.jobs.options.Place(now, Placement{
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
+	})
+	return better != nil && better.Pace(now) > 0 && float64(pace) > slowFactor*float64(better.Pace(now))
+}
+
 func lastEvent(events []port.ReplicaEvent) int64 {
 	if len(events) == 0 {
 		return 0
@@ -311,14 +376,18 @@
 		if chosen.Failed(now) {
 			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
 		}
-	case task.RunInterrupted, task.RunFailed, task.RunImpossible:
+	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow:
+	}
+	if result.Pace > 0 {
+		chosen.LearnPace(now, result.Pace)
 	}
 }
 
 // onRun takes the end of a run.
 func (o *ownedJob) onRun(now time.Time, index int, run uint64, result task.RunResult) {
 	one := &o.items[index]
-	if o.jobs.owned[o.id] != o || one.state != itemRunning || one.run != run {
+	if one.state != itemRunning || one.run != run {
+		o.finishStop(now)
 		return
 	}
 	one.state = itemWaiting
@@ -326,13 +395,21 @@
 	one.events = append(one.events, result.Events...)
 	o.learnVersions(one, result)
 	o.checkVersions(index)
+	if o.closing || o.releasing && result.Outcome != task.RunCompleted {
+		o.finishStop(now)
+		return
+	}
 	switch result.Outcome {
 	case task.RunCompleted:
-		o.completed(now, index)
+		o.completed(now, index, result)
 	case task.RunInterrupted, task.RunUnreachable:
 		one.avoid = one.endpoint
 		one.interruptions++
 		one.notAt = now.Add(busyPause / 2)
+	case task.RunSlow:
+		one.avoid = one.endpoint
+		one.moves++
+		one.long = true
 	case task.RunRefused:
 		one.avoid = one.endpoint
 		one.notAt = now.Add(busyPause)
@@ -341,7 +418,7 @@
 	case task.RunFailed:
 		o.failed(now, index)
 	}
-	if result.Outcome != task.RunCompleted {
+	if result.Outcome != task.RunCompleted && result.Outcome != task.RunSlow {
 		o.jobs.options.Queue.Log(event.ItemRetried, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint,
 			"outcome", int(result.Outcome), "status", result.Status, "events", len(one.events))
 	}
@@ -373,7 +450,7 @@
 	}
 }
 
-func (o *ownedJob) completed(now time.Time, index int) {
+func (o *ownedJob) completed(now time.Time, index int, last task.RunResult) {
 	one := &o.items[index]
 	if len(one.events) == 0 {
 		// The text was thrown away, or the stream held nothing.
@@ -393,6 +470,9 @@
 		}
 	}
 	result.Message = string(message)
+	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", result.Id, "replica", one.endpoint, "events", len(one.events),
+		"versions", result.Versions, "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
+		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds())
 	one.events = nil
 	one.result = result
 	one.state = itemFinished
@@ -413,13 +493,38 @@
 	}
 }
 
+// stopRuns cancels all runs; finishStop goes on once the last has ended.
+func (o *ownedJob) stopRuns(now time.Time) {
+	for i := range o.items {
+		if o.items[i].state == itemRunning {
+			o.jobs.options.Queue.Add(task.StopRun{ID: o.items[i].run})
+		}
+	}
+	o.finishStop(now)
+}
+
+// finishStop keeps the texts of a job that is dropped or handed over, once all its runs
+// have brought them in.
+func (o *ownedJob) finishStop(now time.Time) {
+	if o.openRuns > 0 || !o.closing && !o.releasing || o.saved {
+		return
+	}
+	o.saved = true
+	o.saveTexts(now, func(now time.Time) {
+		if o.jobs.owned[o.id] == o {
+			o.handOver = true
+			o.write(now)
+		}
+	})
+}
+
 // write lists finished items, or shows that the owner lives.
 func (o *ownedJob) write(now time.Time) {
 	if o.committing || now.Before(o.retryAt) {
 		return
 	}
 	ready := o.readyItems(now)
-	if len(ready) == 0 && now.Sub(o.writtenAt) < beatEvery && !o.releasing {
+	if len(ready) == 0 && now.Sub(o.writtenAt) < beatEvery && !o.handOver {
 		return
 	}
 	next := proto.Clone(o.head.BatchJobHead).(*doorstepv1.BatchJobHead)
@@ -434,7 +539,7 @@
 		next.ListedItems[index/8] |= 1 << (index % 8)
 		next.Listed++
 	}
-	if o.releasing {
+	if o.handOver {
 		next.Owner = ""
 	}
 	o.committing = true
@@ -495,8 +600,8 @@
 	o.advance(now)
 }
 
-// release hands the job over with what is finished.
+// release hands the job over with what is finished and the texts that were begun.
 func (o *ownedJob) release(now time.Time) {
 	o.releasing = true
-	o.write(now)
+	o.stopRuns(now)
 }
