--- a/internal/command/simulator/simulator.go
+++ b/internal/command/simulator/simulator.go
@@ -33,7 +33,7 @@
 	return &cli.Command{
 		Name:     "doorstep-sim",
 		Usage:    "simulate installations of doorstep on a virtual clock, under faults",
-		Commands: []*cli.Command{runCommand(), sweepCommand(), faultsCommand(), scaleCommand(), benchCommand()},
+		Commands: []*cli.Command{runCommand(), sweepCommand(), faultsCommand(), scaleCommand(), benchCommand(), clusterCommand()},
 	}
 }
 
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -241,7 +241,7 @@
 	a.metrics.storeCall(kind, result.Status, time.Since(startedAt))
 	a.do(func(now time.Time) {
 		if result.Clock > 0 {
-			a.node.NoteClock(now, result.Clock)
+			a.node.NoteClock(now, startedAt, result.Clock)
 		}
 		done(now, result)
 	})
--- /dev/null
+++ b/internal/process/cluster/clock.go
@@ -0,0 +1,30 @@
+package cluster
+
+import "time"
+
+// storeClock bounds the store's steady clock. An answer names the clock's reading at
+// some moment between the sending of its call and its coming, so each answer bounds the
+// difference to this node's clock from both sides.
+type storeClock struct {
+	base  time.Time
+	known bool
+	// least and most bound the store's reading at base.
+	least, most time.Duration
+}
+
+func (c *storeClock) note(now, sentAt time.Time, reading time.Duration) {
+	least, most := reading-now.Sub(c.base), reading-sentAt.Sub(c.base)
+	if !c.known {
+		c.known, c.least, c.most = true, least, most
+		return
+	}
+	c.least = max(c.least, least)
+	c.most = min(c.most, most)
+}
+
+// bounds returns the least and the most that the store's clock may show now; known is
+// false before the first answer.
+func (c *storeClock) bounds(now time.Time) (least, most time.Duration, known bool) {
+	since := now.Sub(c.base)
+	return c.least + since, c.most + since, c.known
+}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -59,37 +59,33 @@
 
 // Node is one node; all calls come from one loop.
 type Node struct {
-	options   Options
-	queue     *task.Queue
-	random    *rand.Rand
-	routes    *routes.Table
-	splitter  *routes.Splitter
-	endpoints *endpoint.Registry
-	jobs      *batch.Jobs
-	lease     *recordlease.Lease
-	rollout   *rollout.Rollout
-	watches   []*recordwatch.Watch
-	// clockOffset, once clockKnown, is the least that the store's clock is ahead of
-	// this node's.
-	clockOffset time.Duration
-	clockBase   time.Time
-	clockKnown  bool
-	startedAt   time.Time
-	stoppingAt  time.Time
-	rotation    uint64
+	options    Options
+	queue      *task.Queue
+	random     *rand.Rand
+	routes     *routes.Table
+	splitter   *routes.Splitter
+	endpoints  *endpoint.Registry
+	jobs       *batch.Jobs
+	lease      *recordlease.Lease
+	rollout    *rollout.Rollout
+	watches    []*recordwatch.Watch
+	clock      storeClock
+	startedAt  time.Time
+	stoppingAt time.Time
+	rotation   uint64
 }
 
 // New returns a node that knows nothing yet.
 func New(now time.Time, options Options) *Node {
 	n := &Node{
-		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clockBase: now,
+		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clock: storeClock{base: now},
 		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
 	}
 	n.splitter = routes.NewSplitter(n.random.Float64())
 	n.rotation = n.random.Uint64()
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
-		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.storeClock,
+		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
 		LengthHint: options.Decoder.LengthHint,
 	})
 	n.lease = recordlease.New(recordlease.Options{
@@ -160,17 +156,11 @@
 	n.jobs.Tick(now)
 }
 
-// NoteClock takes the store's clock from one of its answers.
-func (n *Node) NoteClock(now time.Time, clock time.Duration) {
-	offset := clock - now.Sub(n.clockBase)
-	if !n.clockKnown || offset > n.clockOffset {
-		n.clockOffset = offset
-		n.clockKnown = true
-	}
+// NoteClock takes the store's clock from the answer to a call that was sent at sentAt.
+func (n *Node) NoteClock(now, sentAt time.Time, clock time.Duration) {
+	n.clock.note(now, sentAt, clock)
 }
 
-func (n *Node) storeClock(now time.Time) time.Duration { return n.clockOffset + now.Sub(n.clockBase) }
-
 // Ready reports whether the node wants new connections.
 func (n *Node) Ready(now time.Time) bool {
 	if n.Stopping() || n.routes == nil {
--- a/internal/simulation/callers.go
+++ b/internal/simulation/callers.go
@@ -51,7 +51,7 @@
 	return &simulatedCallers{world: w, finals: map[port.OutcomeKind]int{}}
 }
 
-func (c *simulatedCallers) begin() { c.world.after(time.Second, c.next) }
+func (c *simulatedCallers) begin() { c.world.After(time.Second, c.next) }
 
 func (c *simulatedCallers) end() { c.ended = true }
 
@@ -65,7 +65,7 @@
 		rate *= burstFactor
 	}
 	gap := -math.Log(1-c.world.random.Float64()) / rate
-	c.world.after(time.Duration(gap*float64(time.Second)), c.next)
+	c.world.After(time.Duration(gap*float64(time.Second)), c.next)
 	c.arrive()
 }
 
@@ -97,12 +97,12 @@
 	c.serial++
 	request.ID = fmt.Sprintf("c%d", c.serial)
 	one := &callerTry{
-		callers: c, request: request, began: w.now, number: number,
+		callers: c, request: request, began: w.Now, number: number,
 		check: &check.Try{ID: request.ID, Prompt: request.Prompt, Service: request.Service, Key: request.Key, Unsafe: request.Unsafe},
 	}
 	one.settle = func(ended *callerTry) { c.settle(ended, target) }
 	to := w.nodes[target%len(w.nodes)]
-	w.after(w.options.Topology.ClientLatency, func() {
+	w.After(w.options.Topology.ClientLatency, func() {
 		if !to.up() {
 			// The connection is refused: nothing was sent.
 			one.check.Cut = true
@@ -128,7 +128,7 @@
 	w.note("done", t.request.ID, string(outcome.Kind))
 	t.check.Outcome = outcome
 	t.check.Length = t.trueLength(outcome)
-	t.callers.latency = append(t.callers.latency, w.now.Sub(t.began)+w.options.Topology.ClientLatency)
+	t.callers.latency = append(t.callers.latency, w.Now.Sub(t.began)+w.options.Topology.ClientLatency)
 	t.end()
 }
 
@@ -179,5 +179,5 @@
 		return
 	}
 	wait := max(ended.check.Outcome.RetryAfter, 100*time.Millisecond)
-	c.world.after(wait, func() { c.try(ended.request, target+1, ended.number+1) })
+	c.world.After(wait, func() { c.try(ended.request, target+1, ended.number+1) })
 }
--- /dev/null
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -0,0 +1,60 @@
+package clustersim
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	testSeeds  = 12
+	testLength = 40 * time.Second
+)
+
+func play(seed uint64, faults []Fault) Report {
+	return New(Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: faults}).Run()
+}
+
+func report(t *testing.T, seed uint64, got Report) {
+	t.Helper()
+	for _, violation := range got.Violations {
+		t.Errorf("seed %d: %s", seed, violation)
+	}
+}
+
+func TestCalm(t *testing.T) {
+	got := play(1, nil)
+	report(t, 1, got)
+	if got.Accepted < 20 || got.Accepted != got.Jobs || got.Results < got.Accepted*itemsOfJob*9/10 || got.Orders == 0 {
+		t.Errorf("%d of %d jobs accepted, %d results, %d orders: a calm run serves all", got.Accepted, got.Jobs, got.Results, got.Orders)
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	first, second := play(7, Faults), play(7, Faults)
+	if first.Results != second.Results || first.Orders != second.Orders || first.Reads != second.Reads {
+		t.Errorf("two runs of one seed differ: %+v and %+v", first, second)
+	}
+}
+
+func TestEachFaultAlone(t *testing.T) {
+	for i, fault := range Faults {
+		t.Run(fault.Name, func(t *testing.T) {
+			t.Parallel()
+			seed := uint64(100 + i)
+			got := play(seed, []Fault{fault})
+			report(t, seed, got)
+			if got.Accepted == 0 || got.Results == 0 {
+				t.Errorf("%d jobs accepted, %d results", got.Accepted, got.Results)
+			}
+		})
+	}
+}
+
+func TestAllFaults(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			report(t, seed, play(seed, Faults))
+		})
+	}
+}
--- /dev/null
+++ b/internal/simulation/clustersim/fault.go
@@ -0,0 +1,147 @@
+package clustersim
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Fault is a kind of fault: inject brings one about and ends it by itself.
+type Fault struct {
+	// Name is used on the command line, Does describes it.
+	Name, Does string
+	// every is the mean time between two of the kind, lasts bounds how long one lasts.
+	every, lasts time.Duration
+	inject       func(w *World, lasts time.Duration)
+}
+
+// Faults lists every kind of fault.
+var Faults = []Fault{
+	{"store-silent", "the record store gives no answer", 15 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.store.silent) }},
+	{"store-refusing", "the record store refuses most calls", 15 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.store.refusing) }},
+	{"store-slow", "the record store takes up to a second and more", 15 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.store.slow) }},
+	{"store-loses", "answers to writes are lost, and some writes are done seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.store.losing) }},
+	{"store-partly", "a third of all calls get no answer", 15 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.store.partly) }},
+	{"store-forgets", "watches hear nothing for a second, then the history is gone", 10 * time.Second, time.Second, forget},
+	{"node-kill", "a node dies without a word and comes back remembering nothing", 6 * time.Second, 4 * time.Second, killNode},
+	{"kill-all", "all nodes die at the same moment", 25 * time.Second, 2 * time.Second, killAll},
+	{"node-freeze", "a node stands still and goes on as if nothing had been", 8 * time.Second, 6 * time.Second, freezeNode},
+	{"node-cut", "a node can't reach the store", 10 * time.Second, 6 * time.Second, cutNode},
+	{"holder-freeze", "the holder of the order lease stands still", 12 * time.Second, 6 * time.Second, freezeHolder},
+	{"planned-stop", "a node is stopped in the planned way", 8 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyNode().stop() }},
+	{"replica-crash", "a replica dies and another takes its address", 8 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.anyReplica().crash(lasts) }},
+	{"replica-dark", "a replica answers nothing for a while", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().dark) }},
+	{"replica-slow", "a replica takes two to four times as long", 10 * time.Second, 6 * time.Second, slowReplica},
+	{"replica-breaks", "a replica breaks off its streams", 10 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().breaking) }},
+	{"replica-drains", "a replica announces that it leaves, and goes", 9 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyReplica().drain() }},
+	{"orders-late", "orders get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.lateOrders) }},
+}
+
+// FindFaults resolves names, "all" and "none" to kinds of faults.
+func FindFaults(names string) ([]Fault, error) {
+	switch names {
+	case "", "none":
+		return nil, nil
+	case "all":
+		return Faults, nil
+	}
+	var found []Fault
+	for name := range strings.SplitSeq(names, ",") {
+		known := false
+		for _, one := range Faults {
+			if one.Name == name {
+				found = append(found, one)
+				known = true
+			}
+		}
+		if !known {
+			return nil, fmt.Errorf("no fault is named %q", name)
+		}
+	}
+	return found, nil
+}
+
+func (w *World) scheduleFaults() {
+	for _, fault := range w.options.Faults {
+		var next func()
+		next = func() {
+			w.After(time.Duration(w.random.ExpFloat64()*float64(fault.every)), func() {
+				if !w.faulty {
+					return
+				}
+				w.faults[fault.Name]++
+				fault.inject(w, fault.lasts/4+time.Duration(w.random.Int64N(int64(fault.lasts)*3/4)))
+				next()
+			})
+		}
+		next()
+	}
+}
+
+// during keeps a count raised for a while.
+func (w *World) during(lasts time.Duration, count *int) {
+	*count++
+	w.store.stable(w.Now)
+	w.After(lasts, func() {
+		w.store.stable(w.Now)
+		*count--
+	})
+}
+
+func (w *World) anyNode() *node { return w.nodes[w.random.IntN(len(w.nodes))] }
+
+// anyReplica returns a replica that is up, or the last one if none is.
+func (w *World) anyReplica() *replica {
+	for range w.replicas {
+		if one := w.replicas[w.random.IntN(len(w.replicas))]; one.up {
+			return one
+		}
+	}
+	return w.replicas[len(w.replicas)-1]
+}
+
+func forget(w *World, lasts time.Duration) {
+	w.store.troubledAt = w.Now.Add(lasts)
+	w.store.records.Hush(w.Now.Add(lasts))
+	w.After(lasts, w.store.records.Forget)
+}
+
+func killNode(w *World, lasts time.Duration) { w.anyNode().kill(lasts) }
+
+func killAll(w *World, lasts time.Duration) {
+	for _, one := range w.nodes {
+		one.kill(lasts)
+	}
+}
+
+func (n *node) freeze(lasts time.Duration) {
+	n.frozenUntil = n.world.Now.Add(lasts)
+	n.trouble(n.frozenUntil)
+}
+
+func freezeNode(w *World, lasts time.Duration) { w.anyNode().freeze(lasts) }
+
+func freezeHolder(w *World, lasts time.Duration) {
+	for _, one := range w.nodes {
+		if one.up && one.node.Lease().Held(w.Now) {
+			one.freeze(lasts)
+			return
+		}
+	}
+}
+
+func cutNode(w *World, lasts time.Duration) {
+	n := w.anyNode()
+	n.cut++
+	w.After(lasts, func() {
+		n.cut--
+		n.trouble(w.Now)
+	})
+}
+
+func slowReplica(w *World, lasts time.Duration) {
+	r := w.anyReplica()
+	more := 1 + w.random.IntN(3)
+	r.slow += more
+	w.After(lasts, func() { r.slow -= more })
+}
--- /dev/null
+++ b/internal/simulation/clustersim/replica.go
@@ -0,0 +1,275 @@
+package clustersim
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/standin/model"
+)
+
+const (
+	replicaSlots = 16
+	eventPace    = 40 * time.Millisecond
+	loadTime     = 900 * time.Millisecond
+	beatEvery    = 1200 * time.Millisecond
+	// drainTime is how long a leaving replica serves on.
+	drainTime     = 2500 * time.Millisecond
+	generatorName = "generator"
+)
+
+// models are those that the replicas hold.
+var models = []string{"model-a", "model-b"}
+
+// replica is one incarnation of a replica.
+type replica struct {
+	*model.Generator
+	world   *World
+	address string
+	zone    string
+	up      bool
+	// dark replicas answer nothing, slow ones take times as long, breaking ones break
+	// off some of their streams.
+	dark, breaking int
+	slow           int
+	drainedAt      time.Time
+	runs           []*run
+}
+
+func (w *World) addReplica(address string) *replica {
+	w.check.incarnations++
+	versions := map[string]int64{}
+	for _, name := range models {
+		versions[name] = max(w.operator.targets[name], 1)
+	}
+	pace := eventPace
+	if len(w.replicas)%3 == 2 {
+		pace = pace * 13 / 10
+	}
+	r := &replica{
+		Generator: &model.Generator{ID: fmt.Sprintf("replica-%d", w.check.incarnations), Slots: replicaSlots, Pace: pace, LoadFor: loadTime, Versions: versions},
+		world:     w, address: address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%3), up: true,
+	}
+	w.replicas = append(w.replicas, r)
+	r.list()
+	w.Every(beatEvery, func() bool {
+		if r.up {
+			r.list()
+		}
+		return r.up
+	})
+	return r
+}
+
+// list writes the replica's record.
+func (r *replica) list() {
+	report := r.Report(r.world.Now)
+	value, err := json.Marshal(port.ReplicaRecord{
+		ID: r.ID, Service: generatorName, Address: r.address, Zone: r.zone, Slots: r.Slots,
+		Draining: !r.drainedAt.IsZero(), Versions: report.Versions,
+	})
+	if err != nil {
+		panic("a replica must encode: " + err.Error())
+	}
+	r.world.store.records.Commit(r.world.Now, port.RecordTransaction{Puts: []port.Record{{RecordKey: r.key(), Value: value}}})
+}
+
+func (r *replica) key() port.RecordKey { return port.RecordKey{Table: replicaTable, Key: r.ID} }
+
+// crash ends the replica; another takes its address after a while.
+func (r *replica) crash(down time.Duration) {
+	if !r.up {
+		return
+	}
+	r.up = false
+	for _, one := range slices.Clone(r.runs) {
+		one.end(task.RunInterrupted)
+	}
+	w := r.world
+	w.After(3*beatEvery, func() {
+		w.store.records.Commit(w.Now, port.RecordTransaction{Deletes: []port.RecordKey{r.key()}})
+	})
+	w.After(down, func() { w.addReplica(r.address) })
+}
+
+// drain announces that the replica leaves; it serves on for a while.
+func (r *replica) drain() {
+	if !r.up || !r.drainedAt.IsZero() {
+		return
+	}
+	r.drainedAt = r.world.Now
+	r.list()
+	r.world.After(drainTime, func() { r.crash(time.Second) })
+}
+
+// at returns the replica at an address.
+func (w *World) at(address string) *replica {
+	for _, one := range slices.Backward(w.replicas) {
+		if one.address == address && one.up {
+			return one
+		}
+	}
+	return nil
+}
+
+// run is one run of an item at a replica.
+type run struct {
+	task    task.Run
+	node    *node
+	life    uint64
+	replica *replica
+	model   string
+	events  []port.ReplicaEvent
+	ended   bool
+	told    int
+}
+
+func (w *World) startRun(n *node, life uint64, t task.Run) {
+	one := &run{task: t, node: n, life: life, replica: w.at(t.Address), model: t.Header.Get("model")}
+	n.runs[t.ID] = one
+	w.After(callLatency, func() {
+		r := one.replica
+		switch {
+		case one.ended:
+		case r == nil || r.ID != t.Replica:
+			one.end(task.RunRefused)
+		case r.dark > 0:
+			w.After(t.FirstWithin, func() { one.end(task.RunUnreachable) })
+		default:
+			w.check.arrived(w, one)
+			one.begin()
+		}
+	})
+}
+
+// begin runs the item, or fails it in the way that its id tells.
+func (one *run) begin() {
+	w, r := one.replica.world, one.replica
+	switch {
+	case strings.HasPrefix(one.task.Item, impossibleItem):
+		one.end(task.RunImpossible)
+		return
+	case strings.HasPrefix(one.task.Item, failingItem):
+		one.end(task.RunFailed)
+		return
+	case !r.Begin(w.Now, one.model):
+		one.end(task.RunRefused)
+		return
+	}
+	r.runs = append(r.runs, one)
+	one.next(one.task.After+1, w.Now)
+}
+
+// next makes the event with the given id.
+func (one *run) next(id int64, lastAt time.Time) {
+	w, r := one.replica.world, one.replica
+	w.After(r.Pace*time.Duration(1+r.slow), func() {
+		if one.ended {
+			return
+		}
+		silence := one.task.NextWithin
+		if len(one.events) == 0 {
+			silence = one.task.FirstWithin
+		}
+		switch {
+		case w.Now.Sub(lastAt) >= silence:
+			one.end(task.RunInterrupted)
+			return
+		case r.dark > 0 || r.Pausing(w.Now, one.model):
+			one.next(id, lastAt)
+			return
+		case r.breaking > 0 && w.random.IntN(30) == 0:
+			one.end(task.RunInterrupted)
+			return
+		}
+		version := r.Version(w.Now, one.model)
+		one.events = append(one.events, port.ReplicaEvent{ID: id, Version: version, Data: expectedEvent(one.task.Item, id, version)})
+		if id >= model.ItemEvents(one.task.Item) {
+			one.end(task.RunCompleted)
+			return
+		}
+		if len(one.events)-one.told >= 10 {
+			one.told = len(one.events)
+			stop := false
+			one.node.do(one.life, func(now time.Time) { stop = one.task.Progress(now, r.Pace*time.Duration(1+r.slow)) })
+			if stop {
+				one.end(task.RunSlow)
+				return
+			}
+		}
+		one.next(id+1, w.Now)
+	})
+}
+
+// stop cancels the run, as its node wants.
+func (one *run) stop() { one.end(task.RunInterrupted) }
+
+// abandon ends the run without a word to its node, which is gone.
+func (one *run) abandon() {
+	one.life = 0
+	one.end(task.RunInterrupted)
+}
+
+func (one *run) end(outcome task.RunOutcome) {
+	if one.ended {
+		return
+	}
+	one.ended = true
+	if r := one.replica; r != nil {
+		if at := slices.Index(r.runs, one); at >= 0 {
+			r.runs = slices.Delete(r.runs, at, at+1)
+			r.End()
+		}
+	}
+	n, life := one.node, one.life
+	n.world.After(callLatency, func() {
+		n.do(life, func(now time.Time) {
+			delete(n.runs, one.task.ID)
+			one.task.Done(now, task.RunResult{Outcome: outcome, Events: one.events})
+		})
+	})
+}
+
+// order carries an order to a replica; it may be carried out late and unanswered.
+func (w *World) order(n *node, t task.Order, done func(status port.VersionOrderStatus)) {
+	if w.operator.lateOrders > 0 && w.random.IntN(2) == 0 {
+		w.After(2*time.Second+time.Duration(w.random.Int64N(int64(6*time.Second))), func() { w.carryOrder(n, t, false) })
+		w.After(answerTimeout, func() { done(port.VersionOrderUnknown) })
+		return
+	}
+	w.After(callLatency, func() {
+		r := w.at(t.Order.Address)
+		if r == nil || r.dark > 0 {
+			w.After(answerTimeout, func() { done(port.VersionOrderUnknown) })
+			return
+		}
+		status := w.carryOrder(n, t, true)
+		w.After(callLatency, func() { done(status) })
+	})
+}
+
+func (w *World) carryOrder(n *node, t task.Order, prompt bool) port.VersionOrderStatus {
+	r := w.at(t.Order.Address)
+	if r == nil {
+		return port.VersionOrderRefused
+	}
+	if prompt && r.ID == t.Order.Replica {
+		w.check.ordered(w, n, t.Order)
+	}
+	return r.Order(w.Now, t.Order)
+}
+
+// ask brings a replica's report, some time old.
+func (w *World) ask(_ *node, t task.Report, done func(report port.ReplicaReport)) {
+	r := w.at(t.Address)
+	if r == nil || r.dark > 0 || r.ID != t.Replica {
+		w.After(answerTimeout, func() { done(port.ReplicaReport{}) })
+		return
+	}
+	report := r.Report(w.Now)
+	w.After(callLatency, func() { done(report) })
+}
--- /dev/null
+++ b/internal/simulation/clustersim/world.go
@@ -0,0 +1,307 @@
+// Package clustersim runs whole installations of cluster nodes in one goroutine on a
+// virtual clock: the very cluster.Node that the daemon runs, models of the record store
+// and of replicas, trainers, an operator, and faults. What callers, replicas and the
+// store see is checked as it happens. Two runs of one seed do exactly the same.
+package clustersim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/simulation/virtual"
+	"github.com/doorstep/doorstep/internal/standin/model"
+)
+
+const (
+	// tickEvery is the pace of the nodes' clocks, as the daemon's.
+	tickEvery = 25 * time.Millisecond
+	// warmUp passes before trainers begin, settleTime after the last fault.
+	warmUp     = 2 * time.Second
+	settleTime = 20 * time.Second
+	// orderPause is the least time between the orders of two holders.
+	orderPause = 3 * time.Second
+	// startupTime passes between the end of a process and its next life.
+	startupTime = 300 * time.Millisecond
+)
+
+// Options configure a World.
+type Options struct {
+	Seed            uint64
+	Nodes, Replicas int
+	// Length is how long faults come.
+	Length time.Duration
+	Faults []Fault
+}
+
+// World is one installation.
+type World struct {
+	virtual.Clock
+	options  Options
+	random   *rand.Rand
+	store    *store
+	nodes    []*node
+	replicas []*replica
+	trainers []*trainer
+	operator *operator
+	check    *checker
+	faulty   bool
+	faults   map[string]int
+}
+
+// epoch is the time at which worlds begin.
+var epoch = time.Unix(1_000_000, 0)
+
+// New returns a world that stands still.
+func New(options Options) *World {
+	w := &World{
+		options: options, Clock: virtual.Clock{Now: epoch}, random: rand.New(rand.NewPCG(options.Seed, 1)),
+		check: newChecker(), faults: map[string]int{},
+	}
+	w.store = newStore(w)
+	w.operator = newOperator(w)
+	for i := range options.Replicas {
+		w.addReplica(fmt.Sprintf("address-%d", i))
+	}
+	for i := range options.Nodes {
+		w.nodes = append(w.nodes, newNode(w, i))
+	}
+	for i, name := range models {
+		w.trainers = append(w.trainers, newTrainer(w, i, name))
+	}
+	return w
+}
+
+// Run plays the world to its end and returns what was violated.
+func (w *World) Run() Report {
+	w.operator.begin()
+	for _, one := range w.nodes {
+		one.start()
+	}
+	for _, one := range w.trainers {
+		w.After(warmUp, one.step)
+	}
+	w.faulty = true
+	w.scheduleFaults()
+	end := w.Now.Add(w.options.Length)
+	w.runUntil(end)
+	w.faulty = false
+	w.runUntil(end.Add(settleTime))
+	w.finalChecks()
+	return w.report()
+}
+
+func (w *World) runUntil(end time.Time) {
+	for w.Now.Before(end) && w.Step() {
+	}
+}
+
+// Report is what a run showed.
+type Report struct {
+	Violations []Violation
+	Faults     map[string]int
+	Jobs       int
+	Accepted   int
+	Results    int
+	Orders     int
+	Reads      int
+}
+
+func (w *World) report() Report {
+	report := Report{Violations: w.check.violations, Faults: w.faults, Results: w.check.resultCount, Orders: w.check.orderCount, Reads: w.check.readCount}
+	for _, job := range w.check.jobs {
+		report.Jobs++
+		if job.acceptedAt != (time.Time{}) {
+			report.Accepted++
+		}
+	}
+	return report
+}
+
+// node is one process, in one life after the other.
+type node struct {
+	world *World
+	name  string
+	zone  string
+	node  *cluster.Node
+	life  uint64
+	up    bool
+	// frozenUntil is set while it stands still; cut while it can't reach the store.
+	frozenUntil time.Time
+	cut         int
+	// troubledAt is when it last was frozen, cut, killed or started.
+	troubledAt time.Time
+	version    int64
+	runs       map[uint64]*run
+	stopping   bool
+}
+
+func newNode(w *World, index int) *node {
+	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%3)}
+}
+
+func (n *node) start() {
+	n.life++
+	n.up = true
+	n.stopping = false
+	n.version = 0
+	n.frozenUntil = time.Time{}
+	n.runs = map[uint64]*run{}
+	n.trouble(n.world.Now)
+	life := n.life
+	n.node = cluster.New(n.world.Now, cluster.Options{
+		Name: n.name, Zone: n.zone, Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
+	})
+	n.world.Every(tickEvery, func() bool {
+		if n.life != life || !n.up {
+			return false
+		}
+		n.do(life, func(now time.Time) { n.node.Tick(now) })
+		if n.stopping && n.node.MayLeave(n.world.Now) {
+			n.kill(startupTime)
+		}
+		return true
+	})
+}
+
+// kill ends the process without a word; it comes back remembering nothing.
+func (n *node) kill(down time.Duration) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.trouble(n.world.Now)
+	for _, one := range n.runs {
+		one.abandon()
+	}
+	n.world.After(down, n.start)
+}
+
+// stop asks the process to end in the planned way.
+func (n *node) stop() {
+	if !n.up || n.stopping {
+		return
+	}
+	n.stopping = true
+	n.do(n.life, func(now time.Time) { n.node.Stop(now) })
+}
+
+// trouble notes a time at which the node was not in touch.
+func (n *node) trouble(at time.Time) {
+	if at.After(n.troubledAt) {
+		n.troubledAt = at
+	}
+}
+
+// healthy reports whether the node was in touch with everything for a while.
+func (n *node) healthy(now time.Time) bool {
+	const inTouch = 3 * time.Second
+	return n.up && n.cut == 0 && !now.Before(n.frozenUntil) && now.Sub(n.troubledAt) > inTouch && n.world.store.stable(now)
+}
+
+// do calls the node within its loop, once it is not frozen, and carries its tasks out.
+func (n *node) do(life uint64, call func(now time.Time)) {
+	w := n.world
+	if !n.up || n.life != life {
+		return
+	}
+	if w.Now.Before(n.frozenUntil) {
+		w.After(n.frozenUntil.Sub(w.Now), func() { n.do(life, call) })
+		return
+	}
+	call(w.Now)
+	for _, one := range n.node.Take() {
+		n.carryOut(life, one)
+	}
+	w.check.configuration(w, n)
+}
+
+func (n *node) carryOut(life uint64, one task.Task) {
+	w := n.world
+	back := func(call func(now time.Time)) { n.do(life, call) }
+	sentAt := w.Now
+	answered := func(done func(now time.Time, result port.RecordResult)) func(result port.RecordResult) {
+		return func(result port.RecordResult) { back(func(now time.Time) { n.noted(now, sentAt, result, done) }) }
+	}
+	switch t := one.(type) {
+	case task.Commit:
+		w.store.write(n, func(now time.Time) port.RecordResult { return w.store.records.Commit(now, t.Transaction) }, answered(t.Done))
+	case task.Range:
+		w.store.read(n, func(now time.Time) port.RecordResult { return w.store.records.Range(now, t.Query) }, answered(t.Done))
+	case task.Watch:
+		w.store.watch(n, t, answered(t.Done))
+	case task.Run:
+		w.startRun(n, life, t)
+	case task.StopRun:
+		if running := n.runs[t.ID]; running != nil {
+			running.stop()
+		}
+	case task.Order:
+		w.order(n, t, func(status port.VersionOrderStatus) { back(func(now time.Time) { t.Done(now, status) }) })
+	case task.Report:
+		w.ask(n, t, func(report port.ReplicaReport) { back(func(now time.Time) { t.Done(now, report) }) })
+	case task.Later:
+		w.After(t.After, func() { back(t.Do) })
+	case task.Wake, task.Forget, task.Log:
+	}
+}
+
+func (n *node) noted(now, sentAt time.Time, result port.RecordResult, done func(now time.Time, result port.RecordResult)) {
+	if result.Clock > 0 {
+		n.node.NoteClock(now, sentAt, result.Clock)
+	}
+	done(now, result)
+}
+
+// Tables of the simulated deployment.
+const (
+	operatorTable = "operator"
+	replicaTable  = "replicas"
+	routesKey     = "routes"
+	targetPrefix  = "target/"
+)
+
+// decoder reads the records of the simulated deployment.
+type decoder struct{}
+
+func (decoder) DeploymentTables() []string { return []string{operatorTable, replicaTable} }
+
+func (decoder) LengthHint(http.Header) int { return 0 }
+
+func (decoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+	var change port.Deployment
+	for _, record := range records {
+		switch {
+		case record.Table == replicaTable && record.Deleted:
+			change.Gone = append(change.Gone, record.Key)
+		case record.Table == replicaTable:
+			var one port.ReplicaRecord
+			if err := json.Unmarshal(record.Value, &one); err != nil {
+				return change, err
+			}
+			change.Replicas = append(change.Replicas, one)
+		case record.Key == routesKey:
+			change.Routes = &port.RouteTable{}
+			if err := json.Unmarshal(record.Value, change.Routes); err != nil {
+				return change, err
+			}
+		default:
+			var target port.VersionTarget
+			if err := json.Unmarshal(record.Value, &target); err != nil {
+				return change, err
+			}
+			change.Targets = append(change.Targets, target)
+		}
+	}
+	return change, nil
+}
+
+// expectedText is the whole text of an item under the versions given for its events.
+func expectedEvent(item string, id, version int64) string {
+	return fmt.Sprintf("%s@%d", model.ItemEvent(item, id), version)
+}
--- a/internal/simulation/engines.go
+++ b/internal/simulation/engines.go
@@ -65,7 +65,7 @@
 		w.engines = append(w.engines, one)
 		w.byName[machine.Name] = one
 		offset := time.Duration(w.random.Int64N(int64(advanceEvery)))
-		w.after(offset, func() { w.every(advanceEvery, one.advance) })
+		w.After(offset, func() { w.Every(advanceEvery, one.advance) })
 	}
 }
 
@@ -83,7 +83,7 @@
 	if e.down {
 		return true
 	}
-	events := e.model.Advance(e.world.now)
+	events := e.model.Advance(e.world.Now)
 	for _, one := range events.Stream {
 		if s, ok := e.streams[one.Attempt]; ok {
 			s.emit(one)
@@ -126,10 +126,10 @@
 	s := &stream{world: w, engine: engine, node: n, life: n.life, attempt: e.Generate.Attempt}
 	n.attempts[s.attempt] = s
 	if !w.network.openBoth(n.entry.Zone, engine.machine.Zone) {
-		w.after(lostDial, func() { s.deliver(port.StreamEvent{Attempt: s.attempt, Kind: port.StreamUnreached}) })
+		w.After(lostDial, func() { s.deliver(port.StreamEvent{Attempt: s.attempt, Kind: port.StreamUnreached}) })
 		return
 	}
-	w.after(w.network.latency(n.entry.Zone, engine.machine.Zone), func() { s.arrive(e.Generate) })
+	w.After(w.network.latency(n.entry.Zone, engine.machine.Zone), func() { s.arrive(e.Generate) })
 }
 
 // arrive brings an attempt to its engine.
@@ -148,7 +148,7 @@
 		return
 	}
 	s.engine.streams[s.attempt] = s
-	for _, event := range s.engine.model.Generate(w.now, generate) {
+	for _, event := range s.engine.model.Generate(w.Now, generate) {
 		s.emit(event)
 	}
 }
@@ -177,20 +177,20 @@
 		if w.random.Float64() < chaosDouble {
 			delays = append(delays, delays[0]+w.network.late())
 		}
-	} else if at := w.now.Add(delays[0]); at.Before(s.lastAt) {
-		delays[0] = s.lastAt.Sub(w.now)
+	} else if at := w.Now.Add(delays[0]); at.Before(s.lastAt) {
+		delays[0] = s.lastAt.Sub(w.Now)
 	}
 	for _, delay := range delays {
-		w.after(delay, func() { s.deliver(event) })
+		w.After(delay, func() { s.deliver(event) })
 	}
-	s.lastAt = w.now.Add(delays[0])
+	s.lastAt = w.Now.Add(delays[0])
 }
 
 // breakOff ends the connection: the node notices after a while, the engine too.
 func (s *stream) breakOff() {
 	s.ended = true
 	delete(s.engine.streams, s.attempt)
-	s.world.after(lostStream, func() {
+	s.world.After(lostStream, func() {
 		s.deliver(port.StreamEvent{Attempt: s.attempt, Kind: port.StreamBroken})
 		s.engine.model.Cancel(s.attempt)
 	})
@@ -207,7 +207,7 @@
 // clientGone tells the engine that the node's end is closed.
 func (s *stream) clientGone() {
 	s.ended = true
-	s.world.after(s.world.network.latency(s.node.entry.Zone, s.engine.machine.Zone), func() {
+	s.world.After(s.world.network.latency(s.node.entry.Zone, s.engine.machine.Zone), func() {
 		delete(s.engine.streams, s.attempt)
 		s.engine.model.Cancel(s.attempt)
 	})
@@ -231,9 +231,9 @@
 			return
 		}
 		answered = true
-		w.after(w.network.latency(zone, n.entry.Zone), func() { n.deliver(life, in) })
+		w.After(w.network.latency(zone, n.entry.Zone), func() { n.deliver(life, in) })
 	}
-	w.after(wait, func() {
+	w.After(wait, func() {
 		if !answered {
 			answered = true
 			n.deliver(life, lost)
@@ -242,7 +242,7 @@
 	if !w.network.openBoth(n.entry.Zone, zone) {
 		return
 	}
-	w.after(w.network.latency(n.entry.Zone, zone), func() {
+	w.After(w.network.latency(n.entry.Zone, zone), func() {
 		if !engine.down {
 			serve(reply)
 		}
@@ -252,7 +252,7 @@
 func (n *simulatedNode) load(e effect.EngineLoad) {
 	engine := n.world.findEngine(e.Replica)
 	n.call(engine, lostCall, node.LoadFailed{Replica: e.Replica}, func(reply func(node.Input)) {
-		report := engine.model.Report(n.world.now)
+		report := engine.model.Report(n.world.Now)
 		if n.world.scale != nil {
 			n.world.scale.poll(report)
 		}
@@ -266,7 +266,7 @@
 	n.call(engine, lostOrder, unknown, func(reply func(node.Input)) {
 		respond := func(status port.OrderStatus) { reply(node.OrderAnswered{Order: e.Order, Status: status}) }
 		n.world.note("order", engine.machine.Name)
-		status, ended := engine.model.Order(n.world.now, e.Order)
+		status, ended := engine.model.Order(n.world.Now, e.Order)
 		if ended {
 			respond(status)
 			return
--- a/internal/simulation/fault.go
+++ b/internal/simulation/fault.go
@@ -91,7 +91,7 @@
 		for at < startTime+faultTime {
 			lasts := min(fault.lasts, startTime+faultTime-at+time.Second)
 			lasts = lasts/4 + time.Duration(w.random.Int64N(int64(lasts*3/4)+1))
-			w.after(at, func() {
+			w.After(at, func() {
 				w.injected[fault.Name]++
 				w.note("fault", fault.Name)
 				if w.options.Verbose != nil {
@@ -107,7 +107,7 @@
 // during counts a fault up for a while.
 func (w *World) during(lasts time.Duration, count *int) {
 	*count++
-	w.after(lasts, func() { *count-- })
+	w.After(lasts, func() { *count-- })
 }
 
 func crashEngine(w *World, lasts time.Duration) {
@@ -116,7 +116,7 @@
 		return
 	}
 	engine.crash()
-	w.after(lasts, engine.restart)
+	w.After(lasts, engine.restart)
 }
 
 func (w *World) anyNode() *simulatedNode { return w.nodes[w.random.IntN(len(w.nodes))] }
@@ -124,7 +124,7 @@
 func killNode(w *World, lasts time.Duration) {
 	one := w.anyNode()
 	one.kill()
-	w.after(lasts, one.start)
+	w.After(lasts, one.start)
 }
 
 func freezeNode(w *World, lasts time.Duration) {
@@ -134,7 +134,7 @@
 	}
 	one.freeze()
 	life := one.life
-	w.after(lasts, func() {
+	w.After(lasts, func() {
 		if one.life == life {
 			one.thaw()
 		}
@@ -154,7 +154,7 @@
 		}
 		w.network.cut(zone, other)
 		w.network.cut(other, zone)
-		w.after(lasts, func() {
+		w.After(lasts, func() {
 			w.network.mend(zone, other)
 			w.network.mend(other, zone)
 		})
@@ -172,22 +172,22 @@
 func cutOneWay(w *World, lasts time.Duration) {
 	from, to := w.twoZones()
 	w.network.cut(from, to)
-	w.after(lasts, func() { w.network.mend(from, to) })
+	w.After(lasts, func() { w.network.mend(from, to) })
 }
 
 const flapTime = 300 * time.Millisecond
 
 func flapLink(w *World, lasts time.Duration) {
 	from, to := w.twoZones()
-	until := w.now.Add(lasts)
-	w.every(2*flapTime, func() bool {
+	until := w.Now.Add(lasts)
+	w.Every(2*flapTime, func() bool {
 		w.network.cut(from, to)
 		w.network.cut(to, from)
-		w.after(flapTime, func() {
+		w.After(flapTime, func() {
 			w.network.mend(from, to)
 			w.network.mend(to, from)
 		})
-		return w.now.Before(until)
+		return w.Now.Before(until)
 	})
 }
 
@@ -202,7 +202,7 @@
 func hideVersions(w *World, lasts time.Duration) {
 	engine := w.engines[w.random.IntN(len(w.engines))]
 	engine.model.HideVersions = true
-	w.after(lasts, func() { engine.model.HideVersions = false })
+	w.After(lasts, func() { engine.model.HideVersions = false })
 }
 
 // leaveReplica lets a replica leave while others of its service stay.
@@ -211,18 +211,18 @@
 	if _, leaving := engine.model.Leaving(); leaving || engine.down || w.leavingOf(engine.machine.Service) > 0 {
 		return
 	}
-	engine.model.Leave(w.now)
+	engine.model.Leave(w.Now)
 	w.platform.changeMachine(engine.machine.Name, func(machine *port.Machine) bool {
 		machine.State = port.MachineLeaving
 		return true
 	})
-	from := w.now
-	w.after(max(lasts, 2*check.LeavingBound), func() {
-		w.leaves = append(w.leaves, check.Leave{Replica: engine.machine.Name, From: from, To: w.now, Bound: check.LeavingBound, Why: "leaving"})
+	from := w.Now
+	w.After(max(lasts, 2*check.LeavingBound), func() {
+		w.leaves = append(w.leaves, check.Leave{Replica: engine.machine.Name, From: from, To: w.Now, Bound: check.LeavingBound, Why: "leaving"})
 		engine.crash()
 		engine.model.Return()
 		w.platform.changeMachine(engine.machine.Name, func(*port.Machine) bool { return false })
-		w.after(2*time.Second, func() {
+		w.After(2*time.Second, func() {
 			engine.restart()
 			w.platform.addMachine(engine.machine)
 		})
@@ -249,18 +249,18 @@
 	one.stopping = true
 	life := one.life
 	one.deliver(life, node.StopRequested{})
-	w.every(100*time.Millisecond, func() bool {
+	w.Every(100*time.Millisecond, func() bool {
 		if one.life == life && one.up() {
 			return true
 		}
-		w.after(back, one.start)
+		w.After(back, one.start)
 		return false
 	})
 }
 
 func stopEachNode(w *World, lasts time.Duration) {
 	for i, one := range w.nodes {
-		w.after(time.Duration(i)*lasts/time.Duration(len(w.nodes)), func() { w.plannedStop(one, time.Second) })
+		w.After(time.Duration(i)*lasts/time.Duration(len(w.nodes)), func() { w.plannedStop(one, time.Second) })
 	}
 }
 
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -51,14 +51,14 @@
 	for i := range 40 {
 		prompts += fmt.Sprintf("Prompt %d of the set, about transfer or session %d.\n", i, i*7)
 	}
-	o.world.platform.objects.Put(o.world.now, ledger.PromptsKey(t.Experiment.Prompts), []byte(prompts))
+	o.world.platform.objects.Put(o.world.Now, ledger.PromptsKey(t.Experiment.Prompts), []byte(prompts))
 	if o.world.options.CallersOnly {
 		for _, engine := range o.world.engines {
 			engine.model.Preload(t.Experiment.Policy, ledger.BaseVersion)
 		}
 		return
 	}
-	o.world.after(time.Second, func() {
+	o.world.After(time.Second, func() {
 		o.create(t.Experiments())
 	})
 }
@@ -67,7 +67,7 @@
 func (o *simulatedOperators) create(experiments []topology.Experiment) {
 	if len(experiments) == 0 {
 		o.ready = true
-		o.world.after(operatorEvery, o.next)
+		o.world.After(operatorEvery, o.next)
 		return
 	}
 	o.command("founder", experiments[0].CreateStatement(), 0, createTries, func(port.OperatorReply) {
@@ -82,7 +82,7 @@
 	if o.ended {
 		return
 	}
-	o.world.after(operatorEvery, o.next)
+	o.world.After(operatorEvery, o.next)
 	text, done := o.draw()
 	o.command("usual", text, 0, operatorTries, done)
 }
@@ -97,7 +97,7 @@
 	if len(o.world.options.Faults) > 0 {
 		bound = check.InForceBound
 	}
-	o.world.leaves = append(o.world.leaves, check.Leave{Replica: o.drained, From: o.drainedSince, To: o.world.now, Bound: bound, Why: "drained"})
+	o.world.leaves = append(o.world.leaves, check.Leave{Replica: o.drained, From: o.drainedSince, To: o.world.Now, Bound: bound, Why: "drained"})
 	o.drainedSince = time.Time{}
 }
 
@@ -126,7 +126,7 @@
 		// A drain whose undrain was asked for meanwhile, or before and is not decided,
 		// may have ended already.
 		if reply.Status == port.Accepted && o.isOn && o.drained == name && o.undrains[name] == 0 {
-			o.drainedSince = w.now
+			o.drainedSince = w.Now
 		}
 	}
 }
@@ -151,21 +151,21 @@
 	}
 	o.serial++
 	call := port.OperatorCall{Operator: operator, Token: fmt.Sprintf("token%d", o.serial), IfRevision: ifRevision, Text: text, Command: parsed.Command}
-	o.ask(call, tries, o.world.now, done)
+	o.ask(call, tries, o.world.Now, done)
 }
 
 func (o *simulatedOperators) ask(call port.OperatorCall, tries int, since time.Time, done func(port.OperatorReply)) {
 	w := o.world
 	o.serial++
 	call.ID = fmt.Sprintf("o%d", o.serial)
-	told := check.Told{Operator: call.Operator, Token: call.Token, IfRevision: call.IfRevision, From: w.now}
+	told := check.Told{Operator: call.Operator, Token: call.Token, IfRevision: call.IfRevision, From: w.Now}
 	ended := false
 	reply := func(answer port.OperatorReply, ok bool) {
 		if ended {
 			return
 		}
 		ended = true
-		told.To = w.now
+		told.To = w.Now
 		told.Reply = answer
 		told.Lost = !ok
 		o.told = append(o.told, told)
@@ -173,8 +173,8 @@
 		o.judge(call, told, tries, since, done)
 	}
 	to := w.nodes[w.random.IntN(len(w.nodes))]
-	w.after(operatorWait+callLost, func() { reply(port.OperatorReply{}, false) })
-	w.after(w.options.Topology.ClientLatency, func() {
+	w.After(operatorWait+callLost, func() { reply(port.OperatorReply{}, false) })
+	w.After(w.options.Topology.ClientLatency, func() {
 		if !to.up() {
 			reply(port.OperatorReply{}, false)
 			return
@@ -190,8 +190,8 @@
 	if !told.Lost {
 		switch told.Reply.Status {
 		case port.Accepted:
-			w.acceptances = append(w.acceptances, check.Acceptance{Revision: told.Reply.Revision, At: w.now})
-			o.slowest = max(o.slowest, w.now.Sub(since))
+			w.acceptances = append(w.acceptances, check.Acceptance{Revision: told.Reply.Revision, At: w.Now})
+			o.slowest = max(o.slowest, w.Now.Sub(since))
 			w.watchRevision(since, told.Reply.Revision)
 			done(told.Reply)
 			return
@@ -207,5 +207,5 @@
 	if tries <= 1 {
 		return
 	}
-	w.after(operatorPause, func() { o.ask(call, tries-1, since, done) })
+	w.After(operatorPause, func() { o.ask(call, tries-1, since, done) })
 }
--- a/internal/simulation/platform.go
+++ b/internal/simulation/platform.go
@@ -76,19 +76,19 @@
 	if down > 0 {
 		return
 	}
-	w.after(delay, func() {
+	w.After(delay, func() {
 		answer := serve()
 		lost := loses > 0 && w.random.IntN(3) == 0
 		if answer == nil || lost || !w.network.open(platformZone, zone) {
 			return
 		}
-		w.after(w.network.latency(platformZone, zone), func() { from.deliver(life, answer) })
+		w.After(w.network.latency(platformZone, zone), func() { from.deliver(life, answer) })
 	})
 }
 
 func (p *simulatedPlatform) read(from *simulatedNode, e effect.TableRead) {
 	p.ask(from, p.tableDown, p.tableSlow, p.tableLoses, func() node.Input {
-		result := p.table.Read(p.world.now, e.Read)
+		result := p.table.Read(p.world.Now, e.Read)
 		if p.world.scale != nil {
 			p.world.scale.platform(rowBytes(result.Rows))
 		}
@@ -113,11 +113,11 @@
 	if p.tableLate > 0 && w.random.IntN(3) == 0 && w.network.open(from.entry.Zone, platformZone) {
 		// The effect lands late, and nobody is told.
 		delay := lateEffectMin + time.Duration(w.random.Int64N(int64(lateEffectMax-lateEffectMin)))
-		w.after(delay, func() { p.apply(e.Transaction) })
+		w.After(delay, func() { p.apply(e.Transaction) })
 		return
 	}
 	p.ask(from, p.tableDown, p.tableSlow, p.tableLoses, func() node.Input {
-		result := p.table.Commit(w.now, e.Transaction)
+		result := p.table.Commit(w.Now, e.Transaction)
 		w.note("commit", e.Transaction.Token)
 		if w.scale != nil {
 			w.scale.platform(rowBytes(result.Rows))
@@ -133,13 +133,13 @@
 
 func (p *simulatedPlatform) put(from *simulatedNode, e effect.ObjectPut) {
 	p.ask(from, p.objectsDown, p.objectsSlow, 0, func() node.Input {
-		return node.ObjectAnswered{ID: e.ID, Result: p.objects.Put(p.world.now, e.Key, e.Value)}
+		return node.ObjectAnswered{ID: e.ID, Result: p.objects.Put(p.world.Now, e.Key, e.Value)}
 	})
 }
 
 func (p *simulatedPlatform) get(from *simulatedNode, e effect.ObjectGet) {
 	p.ask(from, p.objectsDown, p.objectsSlow, 0, func() node.Input {
-		return node.ObjectAnswered{ID: e.ID, Result: p.objects.Get(p.world.now, e.Key)}
+		return node.ObjectAnswered{ID: e.ID, Result: p.objects.Get(p.world.Now, e.Key)}
 	})
 }
 
@@ -154,7 +154,7 @@
 func (p *simulatedPlatform) list() []port.Machine {
 	var current []port.Machine
 	for _, version := range p.listed {
-		if !p.world.now.Before(version.at.Add(machineLag)) {
+		if !p.world.Now.Before(version.at.Add(machineLag)) {
 			current = version.machines
 		}
 	}
@@ -174,14 +174,14 @@
 			next = append(next, machine)
 		}
 	}
-	p.listed = append(p.listed, listVersion{at: p.world.now, machines: next})
+	p.listed = append(p.listed, listVersion{at: p.world.Now, machines: next})
 }
 
 // addMachine lists a machine again.
 func (p *simulatedPlatform) addMachine(machine port.Machine) {
 	latest := p.listed[len(p.listed)-1].machines
 	next := slices.DeleteFunc(slices.Clone(latest), func(m port.Machine) bool { return m.Name == machine.Name })
-	p.listed = append(p.listed, listVersion{at: p.world.now, machines: append(next, machine)})
+	p.listed = append(p.listed, listVersion{at: p.world.Now, machines: append(next, machine)})
 }
 
 func (p *simulatedPlatform) score(from *simulatedNode, e effect.Score) {
--- a/internal/simulation/report.go
+++ b/internal/simulation/report.go
@@ -117,7 +117,7 @@
 	w.operator.undrained()
 	for _, engine := range w.engines {
 		if from, leaving := engine.model.Leaving(); leaving {
-			w.leaves = append(w.leaves, check.Leave{Replica: engine.machine.Name, From: from, To: w.now, Bound: check.LeavingBound, Why: "leaving"})
+			w.leaves = append(w.leaves, check.Leave{Replica: engine.machine.Name, From: from, To: w.Now, Bound: check.LeavingBound, Why: "leaving"})
 		}
 	}
 }
--- a/internal/simulation/scale.go
+++ b/internal/simulation/scale.go
@@ -14,6 +14,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/simulation/check"
+	"github.com/doorstep/doorstep/internal/simulation/virtual"
 	"github.com/doorstep/doorstep/internal/standin/model"
 	"github.com/doorstep/doorstep/internal/standin/topology"
 )
@@ -183,7 +184,7 @@
 	if w.scale == nil || !w.scale.counting {
 		return
 	}
-	w.scale.watch("weights", w.now, func() bool {
+	w.scale.watch("weights", w.Now, func() bool {
 		reached := 0
 		for _, engine := range w.engines {
 			loaded, at := engine.model.Loaded()
@@ -236,8 +237,8 @@
 	w.platform.weights = model.NewWeights(scaleWeightsRate, scaleWeightsRate)
 	w.operator.begin()
 	w.callers.begin()
-	w.every(scaleWatch, func() bool {
-		w.scale.look(w.now)
+	w.Every(scaleWatch, func() bool {
+		w.scale.look(w.Now)
 		return true
 	})
 	w.runFor(scaleWarmUp)
@@ -247,9 +248,9 @@
 }
 
 func (w *World) runFor(span time.Duration) {
-	until := w.now.Add(span)
-	for w.now.Before(until) {
-		if !w.step() {
+	until := w.Now.Add(span)
+	for w.Now.Before(until) {
+		if !w.Step() {
 			return
 		}
 	}
@@ -274,10 +275,10 @@
 	kills := int(math.Ceil(fullFailures * part * scaleCompression * span / day))
 	stops := int(math.Ceil(fullReplacements * part * scaleCompression * span / day))
 	for i := range kills {
-		w.after(time.Duration(span*(float64(i)+0.3)/float64(kills)*0.7*float64(time.Second)), w.killAndWatch)
+		w.After(time.Duration(span*(float64(i)+0.3)/float64(kills)*0.7*float64(time.Second)), w.killAndWatch)
 	}
 	for i := range stops {
-		w.after(time.Duration(span*(float64(i)+0.5)/float64(stops)*0.9*float64(time.Second)), func() { w.plannedStop(w.anyNode(), 2*time.Second) })
+		w.After(time.Duration(span*(float64(i)+0.5)/float64(stops)*0.9*float64(time.Second)), func() { w.plannedStop(w.anyNode(), 2*time.Second) })
 	}
 }
 
@@ -289,7 +290,7 @@
 	}
 	victim.kill()
 	w.scale.failures++
-	w.scale.watch("detection", w.now, func() bool {
+	w.scale.watch("detection", w.Now, func() bool {
 		for _, one := range w.nodes {
 			if one.up() && one.node.Members().State(victim.index) != doorstepv1.MemberState_MEMBER_STATE_DEAD {
 				return false
@@ -297,7 +298,7 @@
 		}
 		return true
 	})
-	w.after(40*time.Second, victim.start)
+	w.After(40*time.Second, victim.start)
 }
 
 // watchRevision waits until every node that runs holds the revision.
@@ -378,7 +379,7 @@
 		}
 	}
 	w.nodes, w.engines, w.byName, w.trainers = nil, nil, nil, nil
-	w.callers, w.operator, w.platform, w.events = nil, nil, nil, nil
+	w.callers, w.operator, w.platform, w.Clock = nil, nil, nil, virtual.Clock{}
 	w.scale, w.seenWork, w.options = nil, nil, Options{}
 	used := heapInUse()
 	runtime.KeepAlive(kept)
--- a/internal/simulation/trainers.go
+++ b/internal/simulation/trainers.go
@@ -49,14 +49,14 @@
 		w.published(e.Policy, version)
 	}
 	w.trainers = append(w.trainers, one)
-	w.every(trainerPoll, one.poll)
+	w.Every(trainerPoll, one.poll)
 }
 
 func (t *simulatedTrainer) poll() bool {
 	if t.dead {
 		return true
 	}
-	call, due := t.model.Next(t.world.now)
+	call, due := t.model.Next(t.world.Now)
 	if due {
 		t.call(call)
 	}
@@ -79,7 +79,7 @@
 			t.target++
 		}
 		w.note("trainer", call.ID, string(answer.Status))
-		t.model.OnReply(w.now, answer, ok)
+		t.model.OnReply(w.Now, answer, ok)
 		if t.armed > 0 && call.Kind == port.TrainerPull && ok && answer.Status == port.TrainerDone {
 			t.die(t.armed)
 			t.armed = 0
@@ -88,8 +88,8 @@
 		t.poll()
 	}
 	to := w.nodes[t.target%len(w.nodes)]
-	w.after(call.Deadline.Sub(w.now)+callLost, func() { reply(port.TrainerReply{}, false) })
-	w.after(w.options.Topology.ClientLatency, func() {
+	w.After(call.Deadline.Sub(w.Now)+callLost, func() { reply(port.TrainerReply{}, false) })
+	w.After(w.options.Topology.ClientLatency, func() {
 		if !to.up() {
 			reply(port.TrainerReply{}, false)
 			return
@@ -107,6 +107,6 @@
 	}
 	t.life++
 	t.dead = true
-	t.model.Die(t.world.now)
-	t.world.after(back, func() { t.dead = false })
+	t.model.Die(t.world.Now)
+	t.world.After(back, func() { t.dead = false })
 }
--- a/internal/simulation/heap.go
+++ b/internal/simulation/virtual/virtual.go
@@ -1,7 +1,6 @@
-// Package simulation runs whole installations of doorstep in one goroutine on a
-// virtual clock: the very node.Node that the daemon runs, models of all outside
-// systems, and faults. Two runs of one seed do exactly the same.
-package simulation
+// Package virtual is a clock for simulations: events happen in the order of their
+// times, all in one goroutine.
+package virtual
 
 import (
 	"container/heap"
@@ -41,35 +40,39 @@
 	return last
 }
 
-// clock is the virtual time and what is to happen on it.
-type clock struct {
-	now    time.Time
+// Clock is a virtual time and what is to happen on it.
+type Clock struct {
+	// Now is the present time.
+	Now    time.Time
 	serial uint64
 	events eventHeap
 }
 
-// after schedules do for a time from now.
-func (c *clock) after(delay time.Duration, do func()) {
+// After schedules do for a time from now.
+func (c *Clock) After(delay time.Duration, do func()) {
 	c.serial++
-	heap.Push(&c.events, event{at: c.now.Add(max(delay, 0)), serial: c.serial, do: do})
+	heap.Push(&c.events, event{at: c.Now.Add(max(delay, 0)), serial: c.serial, do: do})
 }
 
-// every schedules do at an interval until it returns false.
-func (c *clock) every(interval time.Duration, do func() bool) {
-	c.after(interval, func() {
+// Every schedules do at an interval until it returns false.
+func (c *Clock) Every(interval time.Duration, do func() bool) {
+	c.After(interval, func() {
 		if do() {
-			c.every(interval, do)
+			c.Every(interval, do)
 		}
 	})
 }
 
-// step runs the next event; false means that there is none.
-func (c *clock) step() bool {
+// Step runs the next event; false means that there is none.
+func (c *Clock) Step() bool {
 	if len(c.events) == 0 {
 		return false
 	}
 	next := heap.Pop(&c.events).(event)
-	c.now = next.at
+	c.Now = next.at
 	next.do()
 	return true
 }
+
+// Pending returns how many events are still to happen.
+func (c *Clock) Pending() int { return len(c.events) }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -1,3 +1,6 @@
+// Package simulation runs whole installations of doorstep in one goroutine on a
+// virtual clock: the very node.Node that the daemon runs, models of all outside
+// systems, and faults. Two runs of one seed do exactly the same.
 package simulation
 
 import (
@@ -13,6 +16,7 @@
 	"github.com/doorstep/doorstep/internal/process/node"
 	"github.com/doorstep/doorstep/internal/request/routing"
 	"github.com/doorstep/doorstep/internal/simulation/check"
+	"github.com/doorstep/doorstep/internal/simulation/virtual"
 	"github.com/doorstep/doorstep/internal/standin/model"
 	"github.com/doorstep/doorstep/internal/standin/topology"
 )
@@ -55,7 +59,7 @@
 
 // World is one run.
 type World struct {
-	clock
+	virtual.Clock
 	options  Options
 	random   *rand.Rand
 	network  *network
@@ -90,7 +94,7 @@
 	options.Topology = varied(options)
 	t := options.Topology
 	w := &World{
-		clock:    clock{now: epochStart},
+		Clock:    virtual.Clock{Now: epochStart},
 		options:  options,
 		random:   random,
 		network:  newNetwork(random, t.ZoneLatency, t.RegionLatency),
@@ -131,7 +135,7 @@
 }
 
 // elapsed is the virtual time since the start.
-func (w *World) elapsed() time.Duration { return w.now.Sub(epochStart) }
+func (w *World) elapsed() time.Duration { return w.Now.Sub(epochStart) }
 
 // note adds something that happened to the digest of the run.
 func (w *World) note(kind string, parts ...string) {
@@ -170,11 +174,11 @@
 	}
 	w.nodes = append(w.nodes, one)
 	// Nodes start one after the other.
-	w.after(time.Duration(w.random.Int64N(int64(500*time.Millisecond))), one.start)
+	w.After(time.Duration(w.random.Int64N(int64(500*time.Millisecond))), one.start)
 }
 
 // clockNow is the node's own clock.
-func (n *simulatedNode) clockNow() time.Time { return n.world.now.Add(n.skew) }
+func (n *simulatedNode) clockNow() time.Time { return n.world.Now.Add(n.skew) }
 
 func (n *simulatedNode) up() bool { return n.node != nil }
 
@@ -198,7 +202,7 @@
 	})
 	n.world.note("start", n.entry.Name)
 	life := n.life
-	n.world.every(node.TickInterval, func() bool {
+	n.world.Every(node.TickInterval, func() bool {
 		if n.life != life || !n.up() {
 			return false
 		}
@@ -322,12 +326,12 @@
 	case effect.TrainerReply:
 		if reply, ok := n.openTrainers[e.ID]; ok {
 			delete(n.openTrainers, e.ID)
-			w.after(w.options.Topology.ClientLatency, func() { reply(e.Reply, true) })
+			w.After(w.options.Topology.ClientLatency, func() { reply(e.Reply, true) })
 		}
 	case effect.OperatorReply:
 		if reply, ok := n.openOperator[e.ID]; ok {
 			delete(n.openOperator, e.ID)
-			w.after(w.options.Topology.ClientLatency, func() { reply(e.Reply, true) })
+			w.After(w.options.Topology.ClientLatency, func() { reply(e.Reply, true) })
 		}
 	case effect.Log:
 		w.note("log", n.entry.Name, fmt.Sprint(e.Event))
@@ -360,7 +364,7 @@
 		return
 	}
 	w.seenWork[key] = true
-	check.InForce(&w.violations, w.acceptances, check.Admission{Node: key.node, Revision: key.revision, At: w.now}, epochStart)
+	check.InForce(&w.violations, w.acceptances, check.Admission{Node: key.node, Revision: key.revision, At: w.Now}, epochStart)
 }
 
 func (n *simulatedNode) sendPeer(e effect.SendPeer) {
@@ -370,7 +374,7 @@
 		w.scale.message(e.Envelope)
 	}
 	for _, delay := range w.network.deliveries(n.entry.Zone, to.entry.Zone) {
-		w.after(delay, func() {
+		w.After(delay, func() {
 			w.note("peer", n.entry.Name, to.entry.Name)
 			to.deliver(0, node.PeerReceived{Envelope: e.Envelope})
 		})
@@ -403,7 +407,7 @@
 		allowed = startTime + faultTime
 	}
 	var doneAt time.Duration
-	for w.elapsed() < allowed && w.step() {
+	for w.elapsed() < allowed && w.Step() {
 		if doneAt == 0 && !w.options.CallersOnly && w.finished() && w.elapsed() > startTime+w.faultSpan() {
 			doneAt = w.elapsed()
 			w.callers.end()
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -75,6 +75,13 @@
 		done(now, Done)
 		return
 	}
+	// An item may be given up at an age, which must not be overrated: without the
+	// store's clock no job is taken.
+	_, acceptedAt, known := j.options.Clock(now)
+	if !known {
+		done(now, NotDone)
+		return
+	}
 	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(job)
 	if err != nil {
 		panic("a job must encode: " + err.Error())
@@ -84,7 +91,7 @@
 	a.head = &doorstepv1.BatchJobHead{
 		Owner: j.options.Self, OwnerIncarnation: j.options.Incarnation,
 		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
-		AcceptedAtMs: j.options.Clock(now).Milliseconds(), Chunks: int32(len(records)),
+		AcceptedAtMs: acceptedAt.Milliseconds(), Chunks: int32(len(records)),
 	}
 	const perTransaction = transactionBytes / chunkBytes
 	for len(records) > perTransaction {
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -81,8 +81,9 @@
 	Find func(id string) *endpoint.Endpoint
 	// Route returns the route of a host and path under the configuration in force.
 	Route func(host, path string) *port.Route
-	// Clock returns the store's steady clock, as far as it is known to have come.
-	Clock func(now time.Time) time.Duration
+	// Clock returns the least and the most that the store's steady clock may show;
+	// known is false before the store's first answer.
+	Clock func(now time.Time) (least, most time.Duration, known bool)
 }
 
 // head is what this node knows of a job's head record.
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -170,6 +170,10 @@
 // begin starts the work of an owner.
 func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64) {
 	j.setHead(now, job.Id, state, revision)
+	if j.owned[job.Id] != nil {
+		// Two tries of one job were answered out of order: the work has begun.
+		return
+	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
 		prompts: map[string]string{}, writtenAt: now, pause: firstPause,
@@ -217,6 +221,9 @@
 
 // advance gives up what is too old, starts items and writes what is due.
 func (o *ownedJob) advance(now time.Time) {
+	if o.jobs.owned[o.id] != o {
+		return
+	}
 	if o.head.complete() {
 		delete(o.jobs.owned, o.id)
 		o.jobs.options.Queue.Log(event.JobCompleted, "job", o.id, "total", o.head.Total)
@@ -235,8 +242,7 @@
 	if route == nil || route.MaxQueue <= 0 {
 		return
 	}
-	age := o.jobs.options.Clock(now) - time.Duration(o.head.AcceptedAtMs)*time.Millisecond
-	if age < route.MaxQueue+queueMargin {
+	if o.jobs.age(now, o.head.AcceptedAtMs) < route.MaxQueue+queueMargin {
 		return
 	}
 	for i := range o.items {
@@ -246,6 +252,13 @@
 	}
 }
 
+// age returns how old something is at least that was written at a reading of the
+// store's clock.
+func (j *Jobs) age(now time.Time, writtenAtMs int64) time.Duration {
+	least, _, _ := j.options.Clock(now)
+	return least - time.Duration(writtenAtMs)*time.Millisecond
+}
+
 func (o *ownedJob) route() *port.Route { return o.jobs.options.Route(o.job.Host, o.job.Path) }
 
 func (o *ownedJob) terminate(now time.Time, index int, reason string) {
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -51,7 +51,8 @@
 	var records []port.Record
 	size := 0
 	for _, index := range o.longestTexts() {
-		text := &doorstepv1.KeptText{Item: o.job.Items[index].Id, SavedAtMs: o.jobs.options.Clock(now).Milliseconds()}
+		_, savedAt, _ := o.jobs.options.Clock(now)
+		text := &doorstepv1.KeptText{Item: o.job.Items[index].Id, SavedAtMs: savedAt.Milliseconds()}
 		for _, made := range o.items[index].events {
 			text.Events = append(text.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
 		}
@@ -122,8 +123,7 @@
 		if whole && wanted {
 			o.adoptText(index, text)
 		}
-		age := o.jobs.options.Clock(now) - time.Duration(text.SavedAtMs)*time.Millisecond
-		if wanted || !whole || age > textLife {
+		if wanted || !whole || o.jobs.age(now, text.SavedAtMs) > textLife {
 			for _, record := range records[from:to] {
 				used.Deletes = append(used.Deletes, record.RecordKey)
 			}
