--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -161,6 +161,11 @@
 		return
 	}
 	r.runs = append(r.runs, one)
+	if one.task.After >= model.ItemEvents(one.task.Item) {
+		// The run before broke off between its last event and its end.
+		one.end(task.RunCompleted)
+		return
+	}
 	one.next(one.task.After+1, w.Now)
 }
 
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -97,7 +97,10 @@
 }
 
 func (w *World) runUntil(end time.Time) {
-	for w.Now.Before(end) && w.Step() {
+	for w.Now.Before(end) {
+		if !w.Step() {
+			return
+		}
 	}
 }
 
@@ -269,10 +272,13 @@
 // decoder reads the records of the simulated deployment.
 type decoder struct{}
 
+// DeploymentTables names the tables.
 func (decoder) DeploymentTables() []string { return []string{operatorTable, replicaTable} }
 
+// LengthHint knows no hints.
 func (decoder) LengthHint(http.Header) int { return 0 }
 
+// DecodeDeployment reads JSON.
 func (decoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
 	var change port.Deployment
 	for _, record := range records {
--- a/internal/standin/model/generator.go
+++ b/internal/standin/model/generator.go
@@ -35,7 +35,7 @@
 // Begin takes a run; false means that it was refused and did not run.
 func (g *Generator) Begin(now time.Time, model string) bool {
 	g.settle(now)
-	if g.running >= g.Slots || g.loading == model {
+	if g.running >= g.Slots || model != "" && g.loading == model {
 		return false
 	}
 	g.running++
