Fast replicas are left to long texts, paces are shared, the last items are listed at once

Ruled out: interruptions (0 on the longest items).

Change: heads carry the owner's paces; items that are not expected to be long prefer replicas that are slower by nature; a run moves after 8 gaps; the last 12 items of a job are listed without gathering.

--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -112,7 +112,8 @@
 
 // readJob answers with results from a position on; it is held until there is one.
 func (a *Agent) readJob(w http.ResponseWriter, r *http.Request, call port.JobCall) {
-	until := time.Now().Add(min(a.protocol.Wait(r.Header), longestWait))
+	startedAt := time.Now()
+	until := startedAt.Add(min(a.protocol.Wait(r.Header), longestWait))
 	for {
 		changed := a.watchJob(call.Job)
 		read := a.readResults(r.Context(), call)
@@ -121,6 +122,8 @@
 			return
 		}
 		if len(read.results) > 0 || call.From >= read.state.Total || !a.waitChange(r.Context(), changed, until) {
+			a.log.add(event.JobRead, "job", call.Job, "from", call.From, "results", len(read.results), "held_ms", time.Since(startedAt).Milliseconds(),
+				"listed", read.state.Listed, "total", read.state.Total)
 			w.Header().Set("Content-Type", "application/json")
 			_, _ = w.Write(a.protocol.EncodeResults(read.state.Total, call.From, read.results))
 			return
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -71,16 +71,16 @@
 			result.FirstEvent = time.Since(startedAt)
 		}
 		result.Events = append(result.Events, one)
-		if reading.due() && a.tooSlow(t, result.Pace) {
+		if reading.due() && a.tooSlow(t, len(result.Events), result.Pace) {
 			result.Outcome = task.RunSlow
 			return result
 		}
 	}
 }
 
-func (a *Agent) tooSlow(t task.Run, pace time.Duration) bool {
+func (a *Agent) tooSlow(t task.Run, events int, pace time.Duration) bool {
 	stop := false
-	a.do(func(now time.Time) { stop = t.Progress(now, pace) })
+	a.do(func(now time.Time) { stop = t.Progress(now, events, pace) })
 	return stop
 }
 
@@ -88,7 +88,7 @@
 	// pauseGap is the time between two events above which it is no matter of pace.
 	pauseGap = 200 * time.Millisecond
 	// steadyGaps is how many times between events make a pace.
-	steadyGaps = 10
+	steadyGaps = 8
 )
 
 // runReading reads the events of a run: each must follow the one before.
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -23,7 +23,9 @@
 	latencyWeight = 0.2
 	// paceWeight is the part of the newest pace, paceLife how long a pace counts.
 	paceWeight = 0.3
-	paceLife   = 5 * time.Second
+	paceLife   = 15 * time.Second
+	// hearsayAfter is how old an own pace is before another node's is taken.
+	hearsayAfter = time.Second
 )
 
 // Endpoint is one incarnation of a replica.
@@ -111,6 +113,14 @@
 	e.pacedAt = now
 }
 
+// HearPace takes a pace that another node found, unless this node knows better.
+func (e *Endpoint) HearPace(now time.Time, pace time.Duration) {
+	if now.Sub(e.pacedAt) >= hearsayAfter && pace > 0 {
+		e.pace = pace
+		e.pacedAt = now
+	}
+}
+
 // Pace returns the usual time between two events, 0 when it is not known.
 func (e *Endpoint) Pace(now time.Time) time.Duration {
 	if now.Sub(e.pacedAt) > paceLife {
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -53,7 +53,7 @@
 	}
 	Rollouts = Profile{
 		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
-		scorers: []weightedScorer{{LeastLoad, 4}, {Steady, 1}, {Preferred, 3}, {SameZone, 0.5}},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {SameZone, 0.5}},
 	}
 	LongRollouts = Profile{
 		filters: Rollouts.filters,
@@ -107,6 +107,21 @@
 	return min(float64(q.BestPace)/float64(pace), 1)
 }
 
+// slowestUsual, times the best pace, is where an endpoint counts as in trouble rather
+// than as slower by nature.
+const slowestUsual = 1.7
+
+// Leisurely rises from 0, for the fastest endpoint, to 0.4 for those that are slower by
+// nature: texts that are likely short are no worse off there, and leave the fast ones to
+// long texts. An endpoint in trouble rates 0.
+func Leisurely(q *Query, e *Endpoint) float64 {
+	pace := e.Pace(q.Now)
+	if pace == 0 || q.BestPace == 0 || float64(pace) > slowestUsual*float64(q.BestPace) {
+		return 0
+	}
+	return max(1-float64(q.BestPace)/float64(pace), 0)
+}
+
 // BestPace returns the least known time between two events, 0 when none is known.
 func BestPace(now time.Time, candidates []*Endpoint) time.Duration {
 	best := time.Duration(0)
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -68,6 +68,7 @@
 	TextsKept            = 913
 	TextAdopted          = 914
 	ItemCompleted        = 915
+	JobRead              = 916
 	LogLinesDropped      = 990
 )
 
@@ -133,6 +134,7 @@
 	{TextsKept, Info, "texts kept", "The texts of items whose runs were stopped were written to the store."},
 	{TextAdopted, Info, "text adopted", "An item goes on from a text that was kept; events says how much."},
 	{ItemCompleted, Info, "item completed", "The whole text of an item is at hand; runs, events and times say how it came."},
+	{JobRead, Info, "batch job read", "A client read results; from and results say which, held_ms how long it was held for one."},
 	{LogLinesDropped, Warn, "log lines dropped", "The log was full or over its budget; so many lines were left out."},
 }
 
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -178,6 +178,9 @@
 		j.options.Queue.Log(event.RecordUnreadable, "table", record.Table, "key", record.Key, "error", err.Error())
 		return
 	}
+	if !j.mine(decoded) {
+		j.hearPaces(now, decoded)
+	}
 	j.setHead(now, record.Key, decoded, record.Revision)
 }
 
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -23,8 +23,10 @@
 	takeoverSpread = 400 * time.Millisecond
 	// unconfirmedFor is how long an owner that can't write its head starts items.
 	unconfirmedFor = 2 * time.Second
-	// gatherFor is how long a finished item waits for others to be listed with it.
+	// gatherFor is how long a finished item waits for others to be listed with it;
+	// the last few of a job, of which there are lastItems, don't wait.
 	gatherFor = 25 * time.Millisecond
+	lastItems = 12
 	// listAtOnce bounds the results of one transaction.
 	listAtOnce = 60
 	// runLimit is the time granted to one run of an item.
@@ -33,8 +35,12 @@
 	queueMargin = time.Second
 	// slowFactor, times a faster replica's pace, is where a run is moved there;
 	// movesAtMost bounds that for an item.
-	slowFactor  = 1.2
-	movesAtMost = 2
+	slowFactor = 1.2
+	// troubledFactor is where a run is moved however short it is; others are short
+	// until they have made shortEvents events.
+	troubledFactor = 1.7
+	shortEvents    = 16
+	movesAtMost    = 2
 	// longPart is the part of a job's items, one in so many, that count as long.
 	longPart = 5
 	// busyPause is the wait after a replica refused an item, failPause after it failed.
@@ -210,7 +216,7 @@
 	o.head = known
 	for i := range o.items {
 		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
-			o.items[i] = item{state: itemListed, run: o.items[i].run}
+			o.items[i] = item{state: itemListed, run: o.items[i].run, endpoint: o.items[i].endpoint}
 		}
 	}
 }
@@ -324,7 +330,9 @@
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
 		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
 		FirstWithin: patience(firstSilence, one.interruptions), NextWithin: o.nextSilence(one, route),
-		Progress: func(now time.Time, pace time.Duration) bool { return o.onProgress(now, index, run, pace) },
+		Progress: func(now time.Time, events int, pace time.Duration) bool {
+			return o.onProgress(now, index, run, events, pace)
+		},
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.account(now, chosen.ID, result, now.Sub(sentAt))
 			chosen.InFlight--
@@ -352,7 +360,7 @@
 // onProgress learns how fast a run makes events, and decides whether it is to go on
 // elsewhere: only if there is a clearly faster replica with room. Moving a run costs its
 // prompt and text read anew, so it is done a few times at most.
-func (o *ownedJob) onProgress(now time.Time, index int, run uint64, pace time.Duration) bool {
+func (o *ownedJob) onProgress(now time.Time, index int, run uint64, events int, pace time.Duration) bool {
 	one := &o.items[index]
 	if chosen := o.jobs.options.Find(one.endpoint); chosen != nil && one.run == run {
 		chosen.LearnPace(now, pace)
@@ -364,7 +372,11 @@
 	better := o.jobs.options.Place(now, Placement{
 		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
 	})
-	return better != nil && better.Pace(now) > 0 && float64(pace) > slowFactor*float64(better.Pace(now))
+	if better == nil || better.Pace(now) == 0 {
+		return false
+	}
+	times := float64(pace) / float64(better.Pace(now))
+	return times > troubledFactor || times > slowFactor && (one.long || events >= shortEvents)
 }
 
 func lastEvent(events []port.ReplicaEvent) int64 {
@@ -552,6 +564,7 @@
 		next.ListedItems[index/8] |= 1 << (index % 8)
 		next.Listed++
 	}
+	next.Paces = o.paces(now)
 	if o.handOver {
 		next.Owner = ""
 	}
@@ -561,10 +574,39 @@
 	})
 }
 
+// pacesAtMost bounds the paces that a head tells.
+const pacesAtMost = 32
+
+// paces returns what this node found of the replicas that the job's items ran at.
+func (o *ownedJob) paces(now time.Time) []*doorstepv1.ReplicaPace {
+	var list []*doorstepv1.ReplicaPace
+	told := map[string]bool{}
+	for i := range o.items {
+		id := o.items[i].endpoint
+		if id == "" || told[id] || len(list) >= pacesAtMost {
+			continue
+		}
+		told[id] = true
+		if known := o.jobs.options.Find(id); known != nil && known.Pace(now) > 0 {
+			list = append(list, &doorstepv1.ReplicaPace{Replica: id, Microseconds: int32(known.Pace(now).Microseconds())})
+		}
+	}
+	return list
+}
+
+// hearPaces takes what the owner of a job found.
+func (j *Jobs) hearPaces(now time.Time, state *doorstepv1.BatchJobHead) {
+	for _, one := range state.Paces {
+		if known := j.options.Find(one.Replica); known != nil {
+			known.HearPace(now, time.Duration(one.Microseconds)*time.Microsecond)
+		}
+	}
+}
+
 // readyItems returns the finished items once the oldest has waited for others.
 func (o *ownedJob) readyItems(now time.Time) []int {
 	var ready []int
-	due := o.releasing
+	due := o.releasing || int(o.head.Total-o.head.Listed) <= lastItems
 	for i := range o.items {
 		if o.items[i].state != itemFinished {
 			continue
