Texts are kept while items run; a silent owner is replaced within 1.2 s

Change: owners keep what was made of texts every 0.8 s, in parts under a prefix of each life and each beginning, so that parts of two texts never mix; the next owner goes on from them. Owners beat every 0.35 s, and are replaced after 0.95 s and four store latencies, so that a slow store takes nobody's jobs away. Texts for later steps are gone: they were always too old. New cases fail without it: TestTextsOutliveTheirOwner, TestTextsOfTwoBeginningsDoNotMix, and a slow store in TestTakeover.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -37,6 +37,9 @@
 	pruneEvery = 2 * time.Second
 )
 
+// watchCall is the kind of a call that the store holds until something changes.
+const watchCall = "watch"
+
 // Protocol is the form of the calls between clients, nodes and replicas.
 type Protocol interface {
 	cluster.DeploymentDecoder
@@ -208,7 +211,7 @@
 	case task.Range:
 		go a.finishRecord("range", t.Done, func() port.RecordResult { return a.store.Range(a.base, t.Query) })
 	case task.Watch:
-		go a.finishRecord("watch", t.Done, func() port.RecordResult { return a.store.Watch(a.base, t.Table, t.After, t.Wait) })
+		go a.finishRecord(watchCall, t.Done, func() port.RecordResult { return a.store.Watch(a.base, t.Table, t.After, t.Wait) })
 	case task.Run:
 		running, cancel := context.WithCancel(a.base)
 		a.runs[t.ID] = cancel
@@ -240,6 +243,9 @@
 	result := call()
 	a.metrics.storeCall(kind, result.Status, time.Since(startedAt))
 	a.do(func(now time.Time) {
+		if kind != watchCall {
+			a.node.NoteLatency(now.Sub(startedAt))
+		}
 		if result.Clock > 0 {
 			a.node.NoteClock(now, startedAt, result.Clock)
 		}
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -71,14 +71,14 @@
 			result.FirstEvent = time.Since(startedAt)
 		}
 		result.Events = append(result.Events, one)
-		if reading.due() && a.tooSlow(t, len(result.Events), result.Pace) {
+		if reading.due() && a.tooSlow(t, result.Events, result.Pace) {
 			result.Outcome = task.RunSlow
 			return result
 		}
 	}
 }
 
-func (a *Agent) tooSlow(t task.Run, events int, pace time.Duration) bool {
+func (a *Agent) tooSlow(t task.Run, events []port.ReplicaEvent, pace time.Duration) bool {
 	stop := false
 	a.do(func(now time.Time) { stop = t.Progress(now, events, pace) })
 	return stop
--- a/internal/process/cluster/clock.go
+++ b/internal/process/cluster/clock.go
@@ -28,3 +28,14 @@
 	since := now.Sub(c.base)
 	return c.least + since, c.most + since, c.known
 }
+
+// latencyDecay is the part of the longest call that is left with each call after it.
+const latencyDecay = 0.8
+
+// callLatency follows how long calls to the store take: the longest counts, and is
+// forgotten with the calls after it.
+type callLatency struct{ longest time.Duration }
+
+func (l *callLatency) note(took time.Duration) {
+	l.longest = max(took, time.Duration(latencyDecay*float64(l.longest)))
+}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -70,6 +70,7 @@
 	rollout    *rollout.Rollout
 	watches    []*recordwatch.Watch
 	clock      storeClock
+	latency    callLatency
 	startedAt  time.Time
 	stoppingAt time.Time
 	rotation   uint64
@@ -86,6 +87,7 @@
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
 		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
+		Latency:    func() time.Duration { return n.latency.longest },
 		LengthHint: options.Decoder.LengthHint,
 	})
 	n.lease = recordlease.New(recordlease.Options{
@@ -161,6 +163,9 @@
 	n.clock.note(now, sentAt, clock)
 }
 
+// NoteLatency takes how long a call to the store took that was answered at once.
+func (n *Node) NoteLatency(took time.Duration) { n.latency.note(took) }
+
 // Ready reports whether the node wants new connections.
 func (n *Node) Ready(now time.Time) bool {
 	if n.Stopping() || n.routes == nil {
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -65,7 +65,6 @@
 	ItemRetried          = 910
 	ItemTerminated       = 911
 	TextDiscarded        = 912
-	TextsKept            = 913
 	TextAdopted          = 914
 	ItemCompleted        = 915
 	JobRead              = 916
@@ -131,8 +130,7 @@
 	{ItemRetried, Info, "item retried", "A run of an item did not complete; outcome, status and events say why and what is kept."},
 	{ItemTerminated, Warn, "item terminated", "An item was given up; reason says why."},
 	{TextDiscarded, Info, "text discarded", "The text of an item was made by a version that its job does not allow, and is made again."},
-	{TextsKept, Info, "texts kept", "The texts of items whose runs were stopped were written to the store."},
-	{TextAdopted, Info, "text adopted", "An item goes on from a text that was kept; events says how much."},
+	{TextAdopted, Info, "text adopted", "An item goes on from the text that the former owner of its job kept; events says how much."},
 	{ItemCompleted, Info, "item completed", "The whole text of an item is at hand; runs, events and times say how it came."},
 	{JobRead, Info, "batch job read", "A client read results; from and results say which, held_ms how long it was held for one."},
 	{LogLinesDropped, Warn, "log lines dropped", "The log was full or over its budget; so many lines were left out."},
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -200,7 +200,7 @@
 		if len(one.events)-one.told >= 10 {
 			one.told = len(one.events)
 			stop := false
-			one.node.do(one.life, func(now time.Time) { stop = one.task.Progress(now, len(one.events), r.Pace*time.Duration(1+r.slow)) })
+			one.node.do(one.life, func(now time.Time) { stop = one.task.Progress(now, one.events, r.Pace*time.Duration(1+r.slow)) })
 			if stop {
 				one.end(task.RunSlow)
 				return
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -228,8 +228,9 @@
 	w := n.world
 	back := func(call func(now time.Time)) { n.do(life, call) }
 	sentAt := w.Now
+	_, held := one.(task.Watch)
 	answered := func(done func(now time.Time, result port.RecordResult)) func(result port.RecordResult) {
-		return func(result port.RecordResult) { back(func(now time.Time) { n.noted(now, sentAt, result, done) }) }
+		return func(result port.RecordResult) { back(func(now time.Time) { n.noted(now, sentAt, held, result, done) }) }
 	}
 	switch t := one.(type) {
 	case task.Commit:
@@ -254,7 +255,10 @@
 	}
 }
 
-func (n *node) noted(now, sentAt time.Time, result port.RecordResult, done func(now time.Time, result port.RecordResult)) {
+func (n *node) noted(now, sentAt time.Time, held bool, result port.RecordResult, done func(now time.Time, result port.RecordResult)) {
+	if !held {
+		n.node.NoteLatency(now.Sub(sentAt))
+	}
 	if result.Clock > 0 {
 		n.node.NoteClock(now, sentAt, result.Clock)
 	}
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -136,7 +136,7 @@
 func (a *acceptance) onCommit(now time.Time, result port.RecordResult) {
 	switch result.Status {
 	case port.RecordDone:
-		a.jobs.begin(now, a.job, a.head, result.Revision)
+		a.jobs.begin(now, a.job, a.head, result.Revision, false)
 		a.finish(now, Done)
 	case port.RecordConflict:
 		// Some try of this job took effect, perhaps one of this node's.
@@ -157,7 +157,7 @@
 		a.jobs.OnHead(now, record)
 		known := a.jobs.heads[a.job.Id]
 		if known != nil && a.jobs.mine(known.BatchJobHead) && a.jobs.owned[a.job.Id] == nil && !known.Ended {
-			a.jobs.begin(now, a.job, known.BatchJobHead, known.revision)
+			a.jobs.begin(now, a.job, known.BatchJobHead, known.revision, false)
 		}
 	}
 }
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -81,6 +81,8 @@
 	Find func(id string) *endpoint.Endpoint
 	// Route returns the route of a host and path under the configuration in force.
 	Route func(host, path string) *port.Route
+	// Latency returns how long calls to the store take of late.
+	Latency func() time.Duration
 	// Clock returns the least and the most that the store's steady clock may show;
 	// known is false before the store's first answer.
 	Clock func(now time.Time) (least, most time.Duration, known bool)
@@ -213,7 +215,7 @@
 	return decoded.Owner == j.options.Self && decoded.OwnerIncarnation == j.options.Incarnation
 }
 
-// drop stops all work on a job; texts that were begun are kept.
+// drop stops all work on a job.
 func (j *Jobs) drop(now time.Time, id, reason string) {
 	job := j.owned[id]
 	if job == nil {
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	one     *endpoint.Endpoint
 	route   *port.Route
 	clock   bool
+	latency time.Duration
 	runs    []task.Run
 	stopped map[uint64]bool
 	// answer decides over a commit's answer; nil lets all through.
@@ -41,6 +43,7 @@
 		Place:      func(time.Time, Placement) *endpoint.Endpoint { return b.one },
 		Find:       func(string) *endpoint.Endpoint { return b.one },
 		Route:      func(string, string) *port.Route { return b.route },
+		Latency:    func() time.Duration { return b.latency },
 		LengthHint: func(http.Header) int { return 0 },
 		Clock: func(now time.Time) (time.Duration, time.Duration, bool) {
 			return now.Sub(epoch), now.Sub(epoch), b.clock
@@ -330,6 +333,7 @@
 	}{
 		{"a silent owner", func(_, _ *bench) {}, takeoverAfter + 2*takeoverSpread, true, true},
 		{"a silent owner, too early", func(_, _ *bench) {}, takeoverAfter - 100*time.Millisecond, false, true},
+		{"a silent owner, but the store is slow", func(_, other *bench) { other.latency = time.Second }, takeoverAfter + 2*takeoverSpread, false, true},
 		{"a silent owner, but the watch is broken", func(_, _ *bench) {}, 10 * time.Second, false, false},
 		{"handed over", func(owner, _ *bench) { owner.jobs.Stop(owner.now); owner.settle(); finishAll(owner) }, takeoverSpread, true, true},
 		{"ended", func(owner, _ *bench) {
@@ -377,6 +381,60 @@
 	}
 }
 
+func TestTextsOutliveTheirOwner(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	owner.pass(200 * time.Millisecond)
+	run := owner.takeRuns()[0]
+	var events []port.ReplicaEvent
+	for id := int64(1); id <= 40; id++ {
+		events = append(events, port.ReplicaEvent{ID: id, Data: "x", Version: 2})
+		if id%8 == 0 {
+			run.Progress(owner.now, events, 40*time.Millisecond)
+			owner.pass(keepEvery)
+		}
+	}
+	other.now = owner.now
+	share(other)
+	other.pass(3 * time.Second)
+	if runs := other.takeRuns(); len(runs) != 1 || runs[0].After != 40 {
+		t.Errorf("%+v: the next owner goes on from what was kept", runs)
+	}
+}
+
+func TestTextsOfTwoBeginningsDoNotMix(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	for _, version := range []int64{1, 2} {
+		owner.pass(300 * time.Millisecond)
+		run := owner.takeRuns()[0]
+		var events []port.ReplicaEvent
+		for id := int64(1); id <= 16*version; id++ {
+			events = append(events, port.ReplicaEvent{ID: id, Data: fmt.Sprint("by ", version), Version: version})
+		}
+		run.Progress(owner.now, events, 40*time.Millisecond)
+		owner.pass(keepEvery + 100*time.Millisecond)
+		if version == 1 {
+			run.Done(owner.now, task.RunResult{Outcome: task.RunInterrupted, Events: events})
+			owner.settle()
+		}
+	}
+	other.now = owner.now
+	share(other)
+	other.pass(3 * time.Second)
+	runs := other.takeRuns()
+	if len(runs) != 1 || runs[0].After != 32 {
+		t.Fatalf("%+v", runs)
+	}
+	other.finish(runs[0], task.RunCompleted, 2, 1)
+	other.pass(200 * time.Millisecond)
+	if got := other.results(t, "j"); len(got) != 1 || strings.Contains(got[0].Message, "by 1") || len(got[0].Versions) != 1 {
+		t.Errorf("%v", got)
+	}
+}
+
 func TestFormerOwnerIsRefused(t *testing.T) {
 	store := newStore()
 	owner, other := newBench("a", store), newBench("b", store)
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -16,11 +16,13 @@
 
 const (
 	// beatEvery is how often an owner writes its head when nothing else changes it.
-	beatEvery = 600 * time.Millisecond
+	beatEvery = 350 * time.Millisecond
 	// takeoverAfter is how long a head must stand unchanged before another node takes
-	// the job, and takeoverSpread spreads the nodes that would.
-	takeoverAfter  = 1700 * time.Millisecond
-	takeoverSpread = 400 * time.Millisecond
+	// the job, longer by latencies of the store, as an owner's beats come that much
+	// later; takeoverSpread spreads the nodes that would.
+	takeoverAfter  = 950 * time.Millisecond
+	latencies      = 4
+	takeoverSpread = 250 * time.Millisecond
 	// unconfirmedFor is how long an owner that can't write its head starts items.
 	unconfirmedFor = 2 * time.Second
 	// gatherFor is how long a finished item waits for others to be listed with it;
@@ -73,10 +75,13 @@
 	endpoint string
 	avoid    string
 	notAt    time.Time
-	// events are the whole events of its text so far.
-	events     []port.ReplicaEvent
-	result     *doorstepv1.BatchResult
-	finishedAt time.Time
+	// events are the whole events of its text so far, progress those of the present run.
+	events, progress []port.ReplicaEvent
+	// generation counts the texts that were begun; of the present one so many events
+	// are kept in the store, in so many parts.
+	generation, keptEvents, keptParts int
+	result                            *doorstepv1.BatchResult
+	finishedAt                        time.Time
 	// startedAt is when its first run was sent, runs counts them.
 	startedAt time.Time
 	runs      int
@@ -111,6 +116,9 @@
 	releasing, closing, saved bool
 	// handOver is set once the head may name no owner.
 	handOver bool
+	// keeping is set while texts are on their way to the store.
+	keeping bool
+	keptAt  time.Time
 }
 
 // takeOver takes jobs whose owner is gone, or that have none.
@@ -137,7 +145,7 @@
 		return unchanged >= spread/2
 	}
 	// The time before the watch began says nothing of the owner.
-	return min(unchanged, now.Sub(j.observedSince)) >= takeoverAfter+spread
+	return min(unchanged, now.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread
 }
 
 func (j *Jobs) take(now time.Time, id string, known *head) {
@@ -168,13 +176,13 @@
 			return
 		}
 		if current := j.heads[id]; current != nil && j.mine(current.BatchJobHead) && !current.Ended && j.owned[id] == nil {
-			j.begin(now, job, current.BatchJobHead, current.revision)
+			j.begin(now, job, current.BatchJobHead, current.revision, true)
 		}
 	})
 }
 
-// begin starts the work of an owner.
-func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64) {
+// begin starts the work of an owner; former says that there may have been one before.
+func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64, former bool) {
 	j.setHead(now, job.Id, state, revision)
 	if j.owned[job.Id] != nil {
 		// Two tries of one job were answered out of order: the work has begun.
@@ -187,7 +195,9 @@
 	j.owned[job.Id] = owned
 	owned.prepare()
 	owned.adopt(owned.head)
-	owned.readTexts(now)
+	if former {
+		owned.readTexts(now)
+	}
 	owned.advance(now)
 }
 
@@ -240,6 +250,11 @@
 		o.startItems(now)
 	}
 	o.write(now)
+	if !o.keeping && !o.releasing && now.Sub(o.keptAt) >= keepEvery {
+		o.keeping = true
+		o.keptAt = now
+		o.keepTexts(now, func(time.Time) { o.keeping = false })
+	}
 }
 
 // giveUp ends items that were not done within the time that the route allows.
@@ -330,7 +345,7 @@
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
 		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
 		FirstWithin: patience(firstSilence, one.interruptions), NextWithin: o.nextSilence(one, route),
-		Progress: func(now time.Time, events int, pace time.Duration) bool {
+		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			return o.onProgress(now, index, run, events, pace)
 		},
 		Done: func(now time.Time, result task.RunResult) {
@@ -360,8 +375,11 @@
 // onProgress learns how fast a run makes events, and decides whether it is to go on
 // elsewhere: only if there is a clearly faster replica with room. Moving a run costs its
 // prompt and text read anew, so it is done a few times at most.
-func (o *ownedJob) onProgress(now time.Time, index int, run uint64, events int, pace time.Duration) bool {
+func (o *ownedJob) onProgress(now time.Time, index int, run uint64, events []port.ReplicaEvent, pace time.Duration) bool {
 	one := &o.items[index]
+	if one.run == run && one.state == itemRunning {
+		one.progress = events
+	}
 	if chosen := o.jobs.options.Find(one.endpoint); chosen != nil && one.run == run {
 		chosen.LearnPace(now, pace)
 	}
@@ -376,7 +394,7 @@
 		return false
 	}
 	times := float64(pace) / float64(better.Pace(now))
-	return times > troubledFactor || times > slowFactor && (one.long || events >= shortEvents)
+	return times > troubledFactor || times > slowFactor && (one.long || len(events) >= shortEvents)
 }
 
 func lastEvent(events []port.ReplicaEvent) int64 {
@@ -417,6 +435,7 @@
 	}
 	one.state = itemWaiting
 	one.avoid = ""
+	one.progress = nil
 	one.events = append(one.events, result.Events...)
 	o.learnVersions(one, result)
 	o.checkVersions(index)
@@ -469,7 +488,7 @@
 		if made.Version < o.job.MinVersion || single && made.Version != one.events[0].Version && i > 0 {
 			o.jobs.options.Queue.Log(event.TextDiscarded, "job", o.id, "item", o.job.Items[index].Id, "version", made.Version,
 				"min_version", o.job.MinVersion)
-			one.events = nil
+			one.discardText()
 			return
 		}
 	}
@@ -528,14 +547,17 @@
 	o.finishStop(now)
 }
 
-// finishStop keeps the texts of a job that is dropped or handed over, once all its runs
-// have brought them in.
+// finishStop keeps the texts of a job that is handed over, once all its runs have
+// brought them in.
 func (o *ownedJob) finishStop(now time.Time) {
 	if o.openRuns > 0 || !o.closing && !o.releasing || o.saved {
 		return
 	}
 	o.saved = true
-	o.saveTexts(now, func(now time.Time) {
+	if o.closing {
+		return
+	}
+	o.keepTexts(now, func(now time.Time) {
 		if o.jobs.owned[o.id] == o {
 			o.handOver = true
 			o.write(now)
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -14,136 +14,163 @@
 )
 
 const (
-	// TextTable holds texts that were begun when their runs were stopped, a partition
-	// for each model.
-	TextTable = "batch-texts"
-	// keptEvents is the least text worth keeping.
-	keptEvents = 10
+	// keepEvery paces the keeping of texts while items run.
+	keepEvery = 800 * time.Millisecond
+	// keptEvents is the least that is kept of a text at a time.
+	keptEvents = 8
+	// keptAtOnce bounds the records of one transaction.
+	keptAtOnce = 90
 	// textsWithin is how long a new owner waits for kept texts before it starts.
-	textsWithin = 150 * time.Millisecond
-	// textLife is how long a text that nobody asked for is kept.
-	textLife = 60 * time.Second
+	textsWithin = 300 * time.Millisecond
 )
 
-func textKey(model, item string, chunk int) port.RecordKey {
-	return port.RecordKey{Table: TextTable, Partition: model, Key: fmt.Sprintf("%s/%02d", item, chunk)}
+// textKey names a part of an item's text. Each life of an owner, and each text that is
+// begun anew, writes under a prefix of its own: parts of two texts never mix, whenever
+// their writes take effect.
+func (o *ownedJob) textKey(index int) port.RecordKey {
+	one := &o.items[index]
+	return port.RecordKey{Table: DataTable, Partition: Partition(o.id), Key: fmt.Sprintf("%s/t/%04d/%016x-%02d/%03d",
+		o.id, index, o.jobs.options.Incarnation, one.generation, one.keptParts)}
+}
+
+// kept is a part that is on its way to the store.
+type kept struct {
+	index, generation, until int
 }
 
-// saveTexts keeps the texts that were begun and are not listed.
-func (o *ownedJob) saveTexts(now time.Time, done func(now time.Time)) {
-	records := o.textRecords(now)
-	if len(records) == 0 {
+// keepTexts writes what was made of texts since they were kept last.
+func (o *ownedJob) keepTexts(now time.Time, done func(now time.Time)) {
+	var parts []kept
+	transaction := port.RecordTransaction{}
+	size := 0
+	for i := range o.items {
+		one := &o.items[i]
+		whole := len(one.events) + len(one.progress)
+		if one.state != itemRunning && one.state != itemWaiting || whole-one.keptEvents < keptEvents {
+			continue
+		}
+		record := o.textPart(i)
+		size += len(record.Value)
+		if len(parts) >= keptAtOnce || size > transactionBytes || len(record.Value) > chunkBytes {
+			break
+		}
+		parts = append(parts, kept{index: i, generation: one.generation, until: whole})
+		transaction.Puts = append(transaction.Puts, record)
+	}
+	if len(parts) == 0 {
 		done(now)
 		return
 	}
-	o.jobs.commit(port.RecordTransaction{Puts: records}, func(now time.Time, result port.RecordResult) {
-		o.jobs.options.Queue.Log(event.TextsKept, "job", o.id, "records", len(records), "status", int(result.Status))
+	o.jobs.commit(transaction, func(now time.Time, result port.RecordResult) {
+		if result.Status == port.RecordDone {
+			o.noteKept(parts)
+		}
 		done(now)
 	})
 }
 
-// textRecords returns the records of the texts, longest first, as far as they fit into
-// one transaction.
-func (o *ownedJob) textRecords(now time.Time) []port.Record {
-	if o.job.Model == "" {
-		return nil
+// textPart encodes the events of a text that were not kept yet.
+func (o *ownedJob) textPart(index int) port.Record {
+	one := &o.items[index]
+	part := &doorstepv1.KeptText{}
+	for i := one.keptEvents; i < len(one.events)+len(one.progress); i++ {
+		made := one.eventAt(i)
+		part.Events = append(part.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
 	}
-	var records []port.Record
-	size := 0
-	for _, index := range o.longestTexts() {
-		_, savedAt, _ := o.jobs.options.Clock(now)
-		text := &doorstepv1.KeptText{Item: o.job.Items[index].Id, SavedAtMs: savedAt.Milliseconds()}
-		for _, made := range o.items[index].events {
-			text.Events = append(text.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
-		}
-		content, err := proto.Marshal(text)
-		if err != nil {
-			panic("a text must encode: " + err.Error())
-		}
-		size += len(content)
-		if size > transactionBytes {
-			return records
-		}
-		records = append(records, chunkRecords(content, func(chunk int) port.RecordKey {
-			return textKey(o.job.Model, text.Item, chunk)
-		})...)
+	value, err := proto.Marshal(part)
+	if err != nil {
+		panic("a text must encode: " + err.Error())
 	}
-	return records
+	return port.Record{RecordKey: o.textKey(index), Value: value}
 }
 
-// longestTexts returns the items with texts worth keeping, longest first.
-func (o *ownedJob) longestTexts() []int {
-	var list []int
-	for i := range o.items {
-		if o.items[i].state != itemListed && o.items[i].state != itemFinished && len(o.items[i].events) >= keptEvents {
-			list = append(list, i)
+func (i *item) eventAt(index int) port.ReplicaEvent {
+	if index < len(i.events) {
+		return i.events[index]
+	}
+	return i.progress[index-len(i.events)]
+}
+
+func (o *ownedJob) noteKept(parts []kept) {
+	for _, part := range parts {
+		one := &o.items[part.index]
+		if one.generation == part.generation {
+			one.keptEvents = part.until
+			one.keptParts++
 		}
 	}
-	sortByLength(list, func(index int) int { return len(o.items[index].events) })
-	return list
 }
 
-// readTexts looks for texts of the job's items that were kept.
+// discardText begins an item's text anew.
+func (i *item) discardText() {
+	i.events, i.progress = nil, nil
+	i.generation++
+	i.keptEvents, i.keptParts = 0, 0
+}
+
+// readTexts looks for what former owners kept.
 func (o *ownedJob) readTexts(now time.Time) {
-	if o.job.Model == "" {
-		return
-	}
 	o.startAfter = now.Add(textsWithin)
+	o.readTextsFrom(o.id+"/t/", nil)
+}
+
+func (o *ownedJob) readTextsFrom(from string, records []port.Record) {
 	o.jobs.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: TextTable, Partition: o.job.Model},
+		Query: port.RecordRange{Table: DataTable, Partition: Partition(o.id), From: from, To: o.id + "/t/~"},
 		Done: func(now time.Time, result port.RecordResult) {
-			o.startAfter = now
-			if o.jobs.owned[o.id] != o || result.Status != port.RecordDone {
+			if o.jobs.owned[o.id] != o {
+				return
+			}
+			records = append(records, result.Records...)
+			if result.Status == port.RecordDone && result.More && now.Before(o.startAfter) {
+				o.readTextsFrom(records[len(records)-1].Key+"\x00", records)
 				return
 			}
-			o.adoptTexts(now, result.Records)
+			o.startAfter = now
+			o.adoptTexts(records)
 			o.advance(now)
 		},
 	})
 }
 
-// adoptTexts goes on from kept texts, and deletes them along with old ones.
-func (o *ownedJob) adoptTexts(now time.Time, records []port.Record) {
-	byItem := map[string]int{}
-	for i, one := range o.job.Items {
-		byItem[one.Id] = i
-	}
-	used := port.RecordTransaction{}
+// adoptTexts goes on from the longest whole text of each item.
+func (o *ownedJob) adoptTexts(records []port.Record) {
 	for from := 0; from < len(records); {
-		item, _, _ := strings.Cut(records[from].Key, "/")
+		prefix := records[from].Key[:strings.LastIndexByte(records[from].Key, '/')+1]
 		to := from
 		var content []byte
-		for to < len(records) && strings.HasPrefix(records[to].Key, item+"/") {
+		for to < len(records) && strings.HasPrefix(records[to].Key, prefix) {
+			// The encodings of parts, one behind the other, are that of the whole.
 			content = append(content, records[to].Value...)
 			to++
 		}
+		from = to
+		index := 0
+		if _, err := fmt.Sscanf(prefix[len(o.id)+len("/t/"):], "%04d/", &index); err != nil || index < 0 || index >= len(o.items) {
+			continue
+		}
 		text := &doorstepv1.KeptText{}
-		whole := proto.Unmarshal(content, text) == nil && text.Item == item
-		index, wanted := byItem[item]
-		if whole && wanted {
+		if proto.Unmarshal(content, text) == nil {
 			o.adoptText(index, text)
 		}
-		if wanted || !whole || o.jobs.age(now, text.SavedAtMs) > textLife {
-			for _, record := range records[from:to] {
-				used.Deletes = append(used.Deletes, record.RecordKey)
-			}
-		}
-		from = to
-	}
-	if len(used.Deletes) > 0 {
-		o.jobs.commit(used, func(time.Time, port.RecordResult) {})
 	}
 }
 
+// adoptText takes a text whose events follow one another from the first.
 func (o *ownedJob) adoptText(index int, text *doorstepv1.KeptText) {
 	one := &o.items[index]
-	if one.state != itemWaiting || len(one.events) > 0 {
+	if one.state != itemWaiting || len(text.Events) <= len(one.events) {
 		return
 	}
-	one.long = true
-	for _, made := range text.Events {
-		one.events = append(one.events, port.ReplicaEvent{ID: made.Id, Data: made.Data, Version: made.Version})
+	var events []port.ReplicaEvent
+	for i, made := range text.Events {
+		if made.Id != int64(i+1) {
+			return
+		}
+		events = append(events, port.ReplicaEvent{ID: made.Id, Data: made.Data, Version: made.Version})
 	}
+	one.events = events
 	o.checkVersions(index)
-	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", text.Item, "events", len(one.events))
+	one.long = one.long || len(one.events) >= shortEvents
+	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events))
 }
