--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 demo: build
 	BIN=$(BIN) TOPOLOGY=$(or $(TOPOLOGY),dakar) scripts/demo.sh
+	BIN=$(BIN) scripts/demo-platform.sh
 
 test:
 	go test ./...
