--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -39,7 +39,7 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "table or json", Value: "table"},
 			&cli.IntFlag{Name: "wait", Usage: "seconds to wait for an answer", Value: 10},
 		},
-		Commands: []*cli.Command{execCommand(), shellCommand(), promptsCommand(), grammarCommand()},
+		Commands: []*cli.Command{execCommand(), shellCommand(), promptsCommand(), grammarCommand(), explainCommand()},
 	}
 }
 
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,6 +76,9 @@
 	log      *eventLog
 	metrics  *metrics
 	base     context.Context
+	// startedAt and clockAhead, in nanoseconds, give the record store's clock.
+	startedAt  time.Time
+	clockAhead atomic.Int64
 
 	mu   sync.Mutex
 	node *cluster.Node
@@ -133,8 +137,9 @@
 func newAgent(base context.Context, options Options) *Agent {
 	a := &Agent{
 		settings: options.Settings, protocol: options.Protocol, store: options.Store, upstream: upstream.New(), base: base,
-		log: newEventLog(options.Log), runs: map[uint64]context.CancelFunc{}, waiters: map[string]chan struct{}{},
+		startedAt: time.Now(), runs: map[uint64]context.CancelFunc{}, waiters: map[string]chan struct{}{},
 	}
+	a.log = newEventLog(options.Log, func() time.Duration { return time.Duration(a.clockAhead.Load()) + time.Since(a.startedAt) })
 	a.metrics = newMetrics(a)
 	a.node = cluster.New(time.Now(), cluster.Options{
 		Name: options.Settings.Name, Zone: options.Settings.Zone, Incarnation: options.Incarnation, Decoder: options.Protocol,
@@ -248,6 +253,7 @@
 		}
 		if result.Clock > 0 {
 			a.node.NoteClock(now, startedAt, result.Clock)
+			a.clockAhead.Store(int64(a.node.StoreClock(a.startedAt)))
 		}
 		done(now, result)
 	})
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -37,13 +38,15 @@
 
 // exchange is one caller's request on its way.
 type exchange struct {
-	agent    *Agent
-	request  *http.Request
-	route    *port.Route
-	id       string
-	body     []byte
-	relay    *relay.Relay
-	exclude  map[string]bool
+	agent   *Agent
+	request *http.Request
+	route   *port.Route
+	id      string
+	body    []byte
+	relay   *relay.Relay
+	exclude map[string]bool
+	// tried names the replicas with the load that was known of them.
+	tried    []string
 	attempts chan *attempt
 	launched int
 	started  time.Time
@@ -83,7 +86,8 @@
 			x.deliver(w, last)
 			return
 		case relay.Fail:
-			a.refuse(w, id, decision.Status, decision.RetryAfter, decision.Reason)
+			a.refuse(w, id, decision.Status, decision.RetryAfter, decision.Reason, "attempts", x.launched, "replicas", strings.Join(x.tried, " "),
+				"held_ms", now.Sub(x.started).Milliseconds())
 			return
 		}
 	}
@@ -110,6 +114,7 @@
 			chosen.InFlight++
 			chosen.UsedAt = now
 			x.exclude[chosen.ID] = true
+			x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
 		}
 	})
 	return chosen
@@ -252,7 +257,7 @@
 	took := time.Since(x.started)
 	x.agent.metrics.answer(x.route, ended.status, took)
 	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status,
-		"attempts", x.launched, "took_ms", took.Milliseconds())
+		"attempts", x.launched, "replicas", strings.Join(x.tried, " "), "took_ms", took.Milliseconds(), "route", x.route.Name)
 }
 
 func copyAnswerHeaders(to, from http.Header) {
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -105,7 +105,7 @@
 }
 
 // refuse answers with a failure of this node's own.
-func (a *Agent) refuse(w http.ResponseWriter, id string, status int, after time.Duration, reason string) {
+func (a *Agent) refuse(w http.ResponseWriter, id string, status int, after time.Duration, reason string, fields ...any) {
 	if id != "" {
 		a.protocol.SetRequestID(w.Header(), id)
 	}
@@ -122,5 +122,5 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(content)
 	a.metrics.refusal(status)
-	a.log.add(event.RequestRefused, "request", id, "status", status, "reason", reason)
+	a.log.add(event.RequestRefused, append([]any{"request", id, "status", status, "reason", reason, "retry_after_ms", after.Milliseconds()}, fields...)...)
 }
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -163,6 +163,12 @@
 	n.clock.note(now, sentAt, clock)
 }
 
+// StoreClock returns the least that the store's clock shows at a time.
+func (n *Node) StoreClock(at time.Time) time.Duration {
+	least, _, _ := n.clock.bounds(at)
+	return least
+}
+
 // NoteLatency takes how long a call to the store took that was answered at once.
 func (n *Node) NoteLatency(took time.Duration) { n.latency.note(took) }
 
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -26,6 +26,8 @@
 	paceLife   = 15 * time.Second
 	// hearsayAfter is how old an own pace is before another node's is taken.
 	hearsayAfter = time.Second
+	// busyFor is how long an endpoint that was heard of is not held for silent.
+	busyFor = time.Second
 )
 
 // Endpoint is one incarnation of a replica.
@@ -45,6 +47,7 @@
 	loading      map[string]time.Time
 	pace         time.Duration
 	pacedAt      time.Time
+	heardAt      time.Time
 }
 
 // Load returns the requests that are known to be at the endpoint: this node's own,
@@ -86,6 +89,7 @@
 func (e *Endpoint) LearnLoad(now time.Time, running, waiting int) {
 	e.told = running + waiting
 	e.toldAt = now
+	e.heardAt = now
 }
 
 // Succeeded notes an attempt that was answered, and how long that took.
@@ -105,6 +109,7 @@
 	if pace <= 0 {
 		return
 	}
+	e.heardAt = now
 	if e.pace == 0 || now.Sub(e.pacedAt) > paceLife {
 		e.pace = pace
 	} else {
@@ -129,6 +134,15 @@
 	return e.pace
 }
 
+// Silent notes an attempt that got no answer in its time. An endpoint that answers
+// others meanwhile is merely busy; it reports whether the endpoint was ejected.
+func (e *Endpoint) Silent(now time.Time) bool {
+	if now.Sub(e.heardAt) < busyFor {
+		return false
+	}
+	return e.Failed(now)
+}
+
 // Failed notes an attempt that broke; it reports whether the endpoint was ejected.
 func (e *Endpoint) Failed(now time.Time) bool {
 	e.failures++
--- a/internal/process/endpoint/endpoint_test.go
+++ b/internal/process/endpoint/endpoint_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+func TestBusyIsNotSilent(t *testing.T) {
+	e := usable("e")
+	e.LearnPace(now, 40*time.Millisecond)
+	e.Silent(now.Add(busyFor / 2))
+	if e.Silent(now.Add(busyFor/2)) || e.Ejected(now.Add(busyFor/2)) {
+		t.Error("an endpoint that answers other runs is busy, not gone")
+	}
+	e.Silent(now.Add(2 * busyFor))
+	if !e.Silent(now.Add(2 * busyFor)) {
+		t.Error("one that answers nobody is ejected")
+	}
+}
+
 func TestRegistry(t *testing.T) {
 	r := NewRegistry()
 	if change := r.Put(usable("a").ReplicaRecord); !change.Added {
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -416,7 +416,7 @@
 	case task.RunRefused:
 		chosen.Busy(now)
 	case task.RunUnreachable:
-		if chosen.Failed(now) {
+		if chosen.Silent(now) {
 			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
 		}
 	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow:
