The lease's former holder orders at once after an outage; queued runs are waited for

TestFormerHolderGoesOnAtOnce was seen to fail without the change.

Second, runs behind a full batch wait up to 4 s for their first event instead of losing their place after 1 s (32 runs at 13 s).

--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -298,6 +299,20 @@
 	}
 }
 
+func TestQueuedRunsAreWaitedFor(t *testing.T) {
+	b := newBench("a", newStore())
+	b.one.Slots = 2
+	b.accept(newJob("j", 4))
+	b.pass(200 * time.Millisecond)
+	var waits []time.Duration
+	for _, run := range b.takeRuns() {
+		waits = append(waits, run.FirstWithin)
+	}
+	if want := []time.Duration{firstSilence, firstSilence, longestSilence, longestSilence}; !slices.Equal(waits, want) {
+		t.Errorf("first events are waited for %v, should be %v", waits, want)
+	}
+}
+
 func TestEndStopsRuns(t *testing.T) {
 	b := newBench("a", newStore())
 	b.accept(newJob("j", 2))
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -7,6 +7,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
 )
@@ -180,7 +181,7 @@
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
 		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, After: lastEvent(one.events),
-		FirstWithin: patience(firstSilence, one.interruptions), NextWithin: o.nextSilence(one, route),
+		FirstWithin: firstWithin(now, chosen, one.interruptions), NextWithin: o.nextSilence(one, route),
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			return o.onProgress(now, index, run, events, pace)
 		},
@@ -194,6 +195,15 @@
 	return true
 }
 
+// firstWithin is how long a run may wait for its first event. Behind a full batch it
+// waits in the replica's queue, whose place would be lost by going elsewhere.
+func firstWithin(now time.Time, chosen *endpoint.Endpoint, interruptions int) time.Duration {
+	if chosen.Load(now) > chosen.Slots {
+		return longestSilence
+	}
+	return patience(firstSilence, interruptions)
+}
+
 // patience doubles a silence with each interruption.
 func patience(silence time.Duration, interruptions int) time.Duration {
 	return min(silence<<min(interruptions, 4), longestSilence)
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -196,7 +196,8 @@
 		l.validUntil = sentAt.Add(Validity)
 		l.actAfter = now
 		l.declared = false
-		if former.Ordering {
+		// A node's own former acts are no other holder's.
+		if former.Ordering && former.Holder != l.options.Holder {
 			l.actAfter = pauseFrom.Add(l.options.Pause + pauseMargin)
 			// The record goes on saying so until the pause is over.
 			l.lastAct = l.actAfter.Add(-l.options.Pause)
--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -150,6 +150,22 @@
 	}
 }
 
+func TestFormerHolderGoesOnAtOnce(t *testing.T) {
+	b := newBench(2)
+	b.run(2 * time.Second)
+	first := b.only(t)
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	b.cut[0], b.cut[1] = true, true
+	b.run(4 * time.Second)
+	b.cut[0], b.cut[1] = false, false
+	b.run(time.Second)
+	if b.only(t) != first || !actsWithin(b, first, 100*time.Millisecond) {
+		t.Error("after an outage of the store its last holder goes on: there is no other to keep apart from")
+	}
+}
+
 func TestResignedLeasePassesQuickly(t *testing.T) {
 	b := newBench(2)
 	b.run(2 * time.Second)
