--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -52,6 +52,7 @@
 	Address(header http.Header, replica string, left time.Duration)
 	Resume(header http.Header, lastEvent string)
 	LastEvent(header http.Header) string
+	Urge(header http.Header)
 	Stamped(header http.Header) bool
 	NotExecuted(status int, header http.Header) bool
 	Load(header http.Header) (running, waiting, slots int, ok bool)
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -35,6 +35,9 @@
 	header := t.Header
 	a.protocol.SetRequestID(header, t.Item)
 	a.protocol.Address(header, t.Replica, t.Limit)
+	if t.Urgent {
+		a.protocol.Urge(header)
+	}
 	if t.After > 0 {
 		a.protocol.Resume(header, strconv.FormatInt(t.After, 10))
 	}
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -287,7 +287,7 @@
 			b.finish(first[0], c.first, c.version, 3)
 			b.pass(300 * time.Millisecond)
 			second := b.takeRuns()
-			if len(second) != 1 || second[0].After != c.after {
+			if len(second) != 1 || second[0].After != c.after || second[0].Urgent != (c.first == task.RunSlow) {
 				t.Fatalf("%+v", second)
 			}
 			b.finish(second[0], task.RunCompleted, 3, 2)
