--- a/internal/command/operator/explain.go
+++ b/internal/command/operator/explain.go
@@ -53,36 +53,49 @@
 			if id == "" {
 				return command.Fail(command.ExitUsage, fmt.Errorf("an ID is needed; see --help"))
 			}
-			lines, err := readLogs(c.StringSlice("logs"))
-			if err != nil {
-				return command.Fail(command.ExitUsage, err)
+			var logs []io.Reader
+			for _, path := range c.StringSlice("logs") {
+				if path == "-" {
+					logs = append(logs, os.Stdin)
+					continue
+				}
+				opened, err := os.Open(path)
+				if err != nil {
+					return command.Fail(command.ExitUsage, err)
+				}
+				defer opened.Close()
+				logs = append(logs, opened)
 			}
-			timeline := timelineOf(lines, id)
-			if len(timeline) == 0 {
-				return command.Fail(command.ExitFailed, fmt.Errorf("no line names %q: its log may be sampled (event %d), or another node's", id, event.LogLinesDropped))
+			if err := Explain(c.Root().Writer, id, logs...); err != nil {
+				return command.Fail(command.ExitFailed, err)
 			}
-			printTimeline(c.Root().Writer, timeline)
-			_, err = fmt.Fprintf(c.Root().Writer, "cause: %s\n", causeOf(timeline, id))
-			return err
+			return nil
 		},
 	}
 }
 
-func readLogs(paths []string) ([]*logLine, error) {
+// Explain writes the timeline of an id over the logs of all nodes, and its cause in a
+// sentence.
+func Explain(output io.Writer, id string, logs ...io.Reader) error {
+	lines, err := readLogs(logs)
+	if err != nil {
+		return err
+	}
+	timeline := timelineOf(lines, id)
+	if len(timeline) == 0 {
+		return fmt.Errorf("no line names %q: its log may be sampled (event %d), or another node's", id, event.LogLinesDropped)
+	}
+	printTimeline(output, timeline)
+	_, err = fmt.Fprintf(output, "cause: %s\n", causeOf(timeline, id))
+	return err
+}
+
+func readLogs(logs []io.Reader) ([]*logLine, error) {
 	var lines []*logLine
-	for _, path := range paths {
-		file := os.Stdin
-		if path != "-" {
-			opened, err := os.Open(path)
-			if err != nil {
-				return nil, err
-			}
-			defer opened.Close()
-			file = opened
-		}
-		read, err := readLog(file)
+	for _, log := range logs {
+		read, err := readLog(log)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
@@ -181,7 +194,7 @@
 		}
 	}
 	last := own[len(own)-1]
-	if last.text("job") == id {
+	if slices.ContainsFunc(own, func(one *logLine) bool { return one.text("job") == id }) {
 		return jobCause(timeline, own)
 	}
 	for _, one := range slices.Backward(own) {
--- /dev/null
+++ b/internal/command/operator/explain_simulated_test.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/simulation/clustersim"
+)
+
+// simulatedLogs plays an installation under a fault and returns its nodes' logs, and the
+// ids that events of a number name.
+func simulatedLogs(t *testing.T, faults string, field string, number int) (logs *bytes.Buffer, ids []string) {
+	t.Helper()
+	found, err := clustersim.FindFaults(faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logs = &bytes.Buffer{}
+	clustersim.New(clustersim.Options{Seed: 3, Nodes: 4, Replicas: 4, Length: 30 * time.Second, Faults: found,
+		Log: func(node string, clock time.Duration, logged int, fields []any) {
+			entry, _ := event.Find(logged)
+			line := map[string]any{"@module": "doorstepd." + node, "@message": entry.Message, "event": logged, "clock_ms": clock.Milliseconds()}
+			for i := 0; i+1 < len(fields); i += 2 {
+				line[fmt.Sprint(fields[i])] = fields[i+1]
+				if logged == number && fields[i] == field {
+					ids = append(ids, fmt.Sprint(fields[i+1]))
+				}
+			}
+			encoded, err := json.Marshal(line)
+			if err != nil {
+				t.Fatal(err)
+			}
+			logs.Write(append(encoded, 10))
+		}}).Run()
+	if len(ids) == 0 {
+		t.Fatalf("%s brought no event %d", faults, number)
+	}
+	return logs, ids
+}
+
+func TestExplainNamesSimulatedFaults(t *testing.T) {
+	for _, c := range []struct {
+		faults, field string
+		number        int
+		// ids holds a part of the id that is explained.
+		id   string
+		want string
+	}{
+		{"none", "item", event.ItemTerminated, "failing", "failed at every attempt"},
+		{"none", "item", event.ItemTerminated, "impossible", "impossible"},
+		{"replica-breaks", "item", event.ItemRetried, "item", "interruptions"},
+		{"replica-slow", "item", event.ItemCompleted, "item", "us an event"},
+		{"node-kill", "job", event.JobTaken, "job", "taken over 1 times"},
+	} {
+		t.Run(c.faults+" "+c.id, func(t *testing.T) {
+			logs, ids := simulatedLogs(t, c.faults, c.field, c.number)
+			for _, id := range ids {
+				if !strings.Contains(id, c.id) {
+					continue
+				}
+				var output bytes.Buffer
+				if err := Explain(&output, id, bytes.NewReader(logs.Bytes())); err != nil {
+					t.Fatal(err)
+				}
+				_, cause, _ := strings.Cut(output.String(), "cause: ")
+				if strings.Contains(cause, c.want) {
+					return
+				}
+				t.Logf("%s: %s", id, cause)
+			}
+			t.Errorf("no cause names %q", c.want)
+		})
+	}
+}
--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -34,7 +34,6 @@
 		return
 	}
 	job.Route, job.Host, job.Path = route.Name, r.Host, r.URL.Path
-	startedAt := time.Now()
 	outcome := wait(r.Context(), func(done chan<- batch.Outcome) {
 		a.do(func(now time.Time) {
 			a.node.Jobs().Accept(now, job, func(_ time.Time, outcome batch.Outcome) { done <- outcome })
@@ -42,13 +41,10 @@
 	})
 	a.metrics.accepted(outcome)
 	if outcome == batch.Done {
-		a.log.add(event.JobAccepted, "job", id, "items", len(job.Items), "bytes", len(body), "model", job.Model,
-			"min_version", job.MinVersion, "step", job.TrainingStep, "took_ms", time.Since(startedAt).Milliseconds())
 		a.protocol.SetRequestID(w.Header(), id)
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
-	a.log.add(event.JobRefused, "job", id, "outcome", int(outcome), "took_ms", time.Since(startedAt).Milliseconds())
 	a.refuseOutcome(w, id, outcome)
 }
 
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -37,6 +37,8 @@
 	// Length is how long faults come.
 	Length time.Duration
 	Faults []Fault
+	// Log, unless nil, takes what nodes log, by the record store's clock.
+	Log func(node string, clock time.Duration, number int, fields []any)
 }
 
 // World is one installation.
@@ -251,7 +253,11 @@
 		w.ask(n, t, func(report port.ReplicaReport) { back(func(now time.Time) { t.Done(now, report) }) })
 	case task.Later:
 		w.After(t.After, func() { back(t.Do) })
-	case task.Wake, task.Forget, task.Log:
+	case task.Log:
+		if w.options.Log != nil {
+			w.options.Log(n.name, w.Now.Sub(epoch), t.Event, t.Fields)
+		}
+	case task.Wake, task.Forget:
 	}
 }
 
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -9,6 +9,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
 )
 
@@ -70,6 +71,7 @@
 // before the head stands.
 func (j *Jobs) Accept(now time.Time, job *doorstepv1.BatchJob, done func(now time.Time, outcome Outcome)) {
 	if j.heads[job.Id] != nil {
+		j.logAcceptance(now, job, Done, 0)
 		done(now, Done)
 		return
 	}
@@ -77,6 +79,7 @@
 	// store's clock no job is taken.
 	_, acceptedAt, known := j.options.Clock(now)
 	if !known {
+		j.logAcceptance(now, job, NotDone, 0)
 		done(now, NotDone)
 		return
 	}
@@ -100,6 +103,17 @@
 	a.submit(now)
 }
 
+// logAcceptance tells what became of a try to hand a job in.
+func (j *Jobs) logAcceptance(now time.Time, job *doorstepv1.BatchJob, outcome Outcome, took time.Duration) {
+	number := event.JobAccepted
+	if outcome != Done {
+		number = event.JobRefused
+	}
+	least, most, _ := j.options.Clock(now)
+	j.options.Queue.Log(number, "job", job.Id, "outcome", int(outcome), "items", len(job.Items), "model", job.Model,
+		"min_version", job.MinVersion, "step", job.TrainingStep, "took_ms", took.Milliseconds(), "clock_known_to_ms", (most - least).Milliseconds())
+}
+
 func chunkRecords(content []byte, key func(chunk int) port.RecordKey) []port.Record {
 	var records []port.Record
 	for chunk := range slices.Chunk(content, chunkBytes) {
@@ -183,6 +197,7 @@
 		return
 	}
 	a.finished = true
+	a.jobs.logAcceptance(now, a.job, outcome, now.Sub(a.startAt))
 	a.done(now, outcome)
 }
 
