A throttled watch goes on from where it stands

Cause: a refused call made a watch read its table anew (8 reads for the heads), so a store that throttles got more calls, not fewer; takeovers stopped meanwhile. Now a refused call is made again later, and the watch counts as broken after 1.2 s without an answer.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -104,7 +104,7 @@
 func (n *Node) watchTables() {
 	for _, table := range n.options.Decoder.DeploymentTables() {
 		n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
-			Table: table, Partitions: []string{""}, Queue: n.queue,
+			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(),
 			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
 			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
 			OnHealth: func(time.Time, bool) {},
@@ -120,7 +120,7 @@
 		}
 	}
 	n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
-		Table: batch.HeadTable, Partitions: partitions, Queue: n.queue, Gather: headGather,
+		Table: batch.HeadTable, Partitions: partitions, Queue: n.queue, Gather: headGather, Jitter: n.random.Float64(),
 		OnList: heads, OnChange: heads, OnHealth: n.jobs.Observing,
 	}))
 }
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -19,6 +19,8 @@
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 60 * time.Millisecond
 	longestPause = 500 * time.Millisecond
+	// refusedFor is how long a watch may be refused before it counts as broken.
+	refusedFor = 1200 * time.Millisecond
 )
 
 // Options configure a Watch.
@@ -28,6 +30,8 @@
 	Queue      *task.Queue
 	// Gather is the pause between two calls, in which changes gather.
 	Gather time.Duration
+	// Jitter, from 0 to 1, spreads the nodes' calls after a refusal.
+	Jitter float64
 	// OnList takes the whole table, OnChange records that changed.
 	OnList   func(now time.Time, records []port.Record)
 	OnChange func(now time.Time, records []port.Record)
@@ -86,6 +90,10 @@
 
 func (w *Watch) onRange(now time.Time, result port.RecordResult) {
 	w.busy = false
+	if result.Status == port.RecordRefused {
+		w.refused(now)
+		return
+	}
 	if result.Status != port.RecordDone {
 		w.failed(now, result.Status)
 		return
@@ -114,27 +122,62 @@
 	w.records = nil
 	w.listedAt = now
 	w.everRead = true
-	w.pause = firstPause
 	w.options.OnList(now, records)
-	if !w.healthy {
-		w.healthy = true
+	w.setHealthy(now, true)
+}
+
+// setHealthy tells of a watch that breaks or is whole again.
+func (w *Watch) setHealthy(now time.Time, healthy bool) {
+	if w.healthy == healthy {
+		return
+	}
+	w.healthy = healthy
+	if healthy {
 		w.options.Queue.Log(event.StoreRegained, "table", w.options.Table, "revision", w.after)
-		w.options.OnHealth(now, true)
+	}
+	w.options.OnHealth(now, healthy)
+}
+
+// easeOff paces the calls of a watch that was refused: all nodes share the store's
+// budget, so each finds the pace that the store bears, and returns to its own slowly.
+func (w *Watch) easeOff(now time.Time) {
+	if w.pause > firstPause {
+		if next := now.Add(w.pause); next.After(w.nextAt) {
+			w.nextAt = next
+		}
+	}
+	w.pause = max(firstPause, w.pause*3/4)
+}
+
+// refused makes the same call later. Nothing was missed: the watch goes on from where it
+// stands, but counts as broken once it has heard nothing for a while.
+func (w *Watch) refused(now time.Time) {
+	w.nextAt = now.Add(w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause)))
+	w.pause = min(2*w.pause, longestPause)
+	if w.healthy && now.Sub(w.answerAt) > refusedFor {
+		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(port.RecordRefused), "revision", w.after)
+		w.setHealthy(now, false)
 	}
 }
 
 func (w *Watch) onChanges(now time.Time, result port.RecordResult) {
 	w.busy = false
+	if result.Status == port.RecordRefused {
+		w.refused(now)
+		return
+	}
 	if result.Status != port.RecordDone {
 		w.failed(now, result.Status)
 		return
 	}
 	w.answerAt = now
+	w.setHealthy(now, true)
 	w.after = max(w.after, result.Revision)
 	if len(result.Records) > 0 {
 		w.options.OnChange(now, result.Records)
 		w.nextAt = now.Add(w.options.Gather)
 	}
+	w.easeOff(now)
 	if now.Sub(w.listedAt) >= rereadEvery {
 		w.listing = 0
 	}
@@ -155,8 +198,7 @@
 	w.nextAt = now.Add(w.pause)
 	w.pause = min(2*w.pause, longestPause)
 	if w.healthy {
-		w.healthy = false
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(status), "revision", w.after)
-		w.options.OnHealth(now, false)
+		w.setHealthy(now, false)
 	}
 }
