Replicas are grouped by model; the number of loads at once is learned

Cause: on the grown sites every replica followed all three models' versions, two loads at once for the whole service.

Change: each replica belongs to one model's group, sized by the tokens that heads of jobs say were asked for; loads at once start at a tenth of the service, double up to a fifth while they aren't stretched, then rise and fall by one.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -95,7 +95,7 @@
 		Holder: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Pause: options.OrderPause,
 		Jitter: n.random.Float64(),
 	})
-	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints})
+	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.jobs.Demand})
 	n.watchTables()
 	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Zone, "incarnation", options.Incarnation)
 	return n
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -93,6 +93,7 @@
 		Owner: j.options.Self, OwnerIncarnation: j.options.Incarnation,
 		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
 		AcceptedAtMs: acceptedAt.Milliseconds(), Chunks: int32(len(records)),
+		Model: job.Model, ExpectedTokens: j.expectedTokens(job),
 	}
 	const perTransaction = transactionBytes / chunkBytes
 	for len(records) > perTransaction {
--- /dev/null
+++ b/internal/version/batch/demand.go
@@ -0,0 +1,31 @@
+package batch
+
+import (
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+)
+
+// demandFor is how long a job counts as demand after its acceptance.
+const demandFor = 20 * time.Second
+
+// Demand returns the tokens that the jobs of late are expected to make, by model.
+func (j *Jobs) Demand(now time.Time) map[string]int64 {
+	demand := map[string]int64{}
+	for _, known := range j.heads {
+		if known.Model != "" && j.age(now, known.AcceptedAtMs) < demandFor {
+			demand[known.Model] += known.ExpectedTokens
+		}
+	}
+	return demand
+}
+
+// expectedTokens adds up what a job's items are expected to make; an item without a
+// hint counts as one token.
+func (j *Jobs) expectedTokens(job *doorstepv1.BatchJob) int64 {
+	total := int64(0)
+	for _, item := range job.Items {
+		total += int64(max(j.options.LengthHint(itemHeader(item)), 1))
+	}
+	return total
+}
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -81,10 +81,7 @@
 	hints := make([]int, len(o.items))
 	order := make([]int, len(o.items))
 	for i, content := range o.job.Items {
-		header := http.Header{}
-		for _, field := range content.Headers {
-			header.Set(field.Name, field.Value)
-		}
+		header := itemHeader(content)
 		o.items[i].header = header
 		hints[i] = o.jobs.options.LengthHint(header)
 		order[i] = i
@@ -96,6 +93,14 @@
 	o.order = order
 }
 
+func itemHeader(item *doorstepv1.BatchItem) http.Header {
+	header := make(http.Header, len(item.Headers))
+	for _, field := range item.Headers {
+		header.Set(field.Name, field.Value)
+	}
+	return header
+}
+
 // giveUp ends items that were not done within the time that the route allows.
 func (o *ownedJob) giveUp(now time.Time) {
 	route := o.route()
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,9 +17,6 @@
 )
 
 const (
-	// loadAtOnce bounds the replicas of a service that load at the same time: more
-	// would slow each other down, and the others serve.
-	loadAtOnce = 2
 	// firstLook is when a replica is asked whether it has loaded, lookEvery how often
 	// after that.
 	firstLook = 950 * time.Millisecond
@@ -40,6 +38,8 @@
 	Lease *recordlease.Lease
 	// Endpoints returns the replicas that hold models.
 	Endpoints func() []*endpoint.Endpoint
+	// Demand returns the tokens that trainers asked for lately, by model.
+	Demand func(now time.Time) map[string]int64
 }
 
 // replicaState is what the holder knows of a replica's orders.
@@ -62,11 +62,13 @@
 	options  Options
 	targets  map[string]int64
 	replicas map[string]*replicaState
+	groups   groups
+	limits   map[string]*loadLimit
 }
 
 // New returns a machine that knows no version.
 func New(options Options) *Rollout {
-	return &Rollout{options: options, targets: map[string]int64{}, replicas: map[string]*replicaState{}}
+	return &Rollout{options: options, targets: map[string]int64{}, replicas: map[string]*replicaState{}, limits: map[string]*loadLimit{}}
 }
 
 // Name takes a version that a trainer named; lower ones are old news.
@@ -97,17 +99,49 @@
 	}
 	endpoints := r.options.Endpoints()
 	r.forget(endpoints)
-	loading := r.follow(now, endpoints)
-	for _, one := range r.wanted(endpoints) {
-		state := r.state(one.endpoint.ID)
-		if state.ordered || now.Before(state.notAt) || loading[one.endpoint.Service] >= loadAtOnce {
+	demand := r.options.Demand(now)
+	services := byService(endpoints)
+	for _, service := range slices.Sorted(maps.Keys(services)) {
+		r.tickService(now, service, services[service], demand)
+	}
+}
+
+// tickService orders the loads of one service's replicas.
+func (r *Rollout) tickService(now time.Time, service string, members []*endpoint.Endpoint, demand map[string]int64) {
+	limit := r.limit(service)
+	loading := r.follow(now, members, limit)
+	staying := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return e.Draining })
+	r.groups.assign(staying, r.targets, demand)
+	for _, load := range r.wanted(staying) {
+		state := r.state(load.endpoint.ID)
+		if state.ordered || now.Before(state.notAt) {
 			continue
 		}
-		loading[one.endpoint.Service]++
-		r.order(now, one, state)
+		if loading >= limit.atOnce(len(members)) {
+			return
+		}
+		loading++
+		r.order(now, load, state)
 	}
 }
 
+func byService(endpoints []*endpoint.Endpoint) map[string][]*endpoint.Endpoint {
+	services := map[string][]*endpoint.Endpoint{}
+	for _, e := range endpoints {
+		services[e.Service] = append(services[e.Service], e)
+	}
+	return services
+}
+
+func (r *Rollout) limit(service string) *loadLimit {
+	limit := r.limits[service]
+	if limit == nil {
+		limit = &loadLimit{}
+		r.limits[service] = limit
+	}
+	return limit
+}
+
 func (r *Rollout) state(id string) *replicaState {
 	state := r.replicas[id]
 	if state == nil {
@@ -127,28 +161,34 @@
 			delete(r.replicas, id)
 		}
 	}
+	r.groups.forget(listed)
 }
 
-// follow looks after the orders under way and counts them by service.
-func (r *Rollout) follow(now time.Time, endpoints []*endpoint.Endpoint) map[string]int {
-	loading := map[string]int{}
-	for _, one := range endpoints {
-		state := r.replicas[one.ID]
-		if state == nil || !state.ordered {
-			continue
+// follow looks after the orders under way at a service's replicas and counts them.
+func (r *Rollout) follow(now time.Time, members []*endpoint.Endpoint, limit *loadLimit) int {
+	loading := 0
+	for _, e := range members {
+		if state := r.replicas[e.ID]; state != nil && state.ordered {
+			loading++
 		}
-		if one.Versions[state.model] >= state.version {
-			r.finish(now, one, state)
+	}
+	beside := loading
+	for _, e := range members {
+		state := r.replicas[e.ID]
+		if state == nil || !state.ordered {
 			continue
 		}
-		if now.Sub(state.orderedAt) >= loadFor {
+		switch {
+		case e.Versions[state.model] >= state.version:
+			limit.finished(now.Sub(state.orderedAt), beside)
+			r.finish(now, e, state)
+			loading--
+		case now.Sub(state.orderedAt) >= loadFor:
 			state.ordered = false
 			state.notAt = now.Add(failPause)
-			continue
-		}
-		loading[one.Service]++
-		if !state.asking && !now.Before(state.notAt) {
-			r.ask(one, state)
+			loading--
+		case !state.asking && !now.Before(state.notAt):
+			r.ask(e, state)
 		}
 	}
 	return loading
@@ -161,41 +201,34 @@
 		"took_ms", now.Sub(state.orderedAt).Milliseconds())
 }
 
-// wanted lists the loads still to be done. A model's steps take its newest version
-// and the one before, so each replica moves at every second version only: those that
-// are two behind must move; of the others so many move that half have the newest.
-func (r *Rollout) wanted(endpoints []*endpoint.Endpoint) []wanted {
+// wanted lists the loads still to be done, the most urgent first. A model's steps take
+// its newest version and the one before, so each replica of its group moves at every
+// second version only: those that are two behind must move; of the others so many move
+// that half have the newest.
+func (r *Rollout) wanted(members []*endpoint.Endpoint) []wanted {
+	grouped := map[string][]*endpoint.Endpoint{}
+	for _, e := range members {
+		model := r.groups.modelOf[e.ID]
+		grouped[model] = append(grouped[model], e)
+	}
 	var list []wanted
-	for _, model := range r.models() {
-		list = append(list, r.wantedOf(model, endpoints)...)
+	for model, group := range grouped {
+		list = append(list, r.wantedOf(model, group)...)
 	}
-	slices.SortStableFunc(list, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight))
+	slices.SortFunc(list, func(a, b wanted) int {
+		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight),
+			cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
 	return list
 }
 
-func (r *Rollout) models() []string {
-	models := make([]string, 0, len(r.targets))
-	for model := range r.targets {
-		models = append(models, model)
-	}
-	slices.Sort(models)
-	return models
-}
-
-// wantedOf lists the loads of one model.
-func (r *Rollout) wantedOf(model string, endpoints []*endpoint.Endpoint) []wanted {
+// wantedOf lists the loads of one model's group.
+func (r *Rollout) wantedOf(model string, group []*endpoint.Endpoint) []wanted {
 	target := r.targets[model]
 	var must, may []wanted
-	holders, newest := 0, 0
-	for _, one := range endpoints {
-		version, holds := one.Versions[model]
-		if !holds || one.Draining {
-			continue
-		}
-		holders++
-		load := wanted{endpoint: one, model: model, version: target, behind: target - version}
+	newest := 0
+	for _, e := range group {
+		load := wanted{endpoint: e, model: model, version: target, behind: target - e.Versions[model]}
 		switch {
 		case load.behind <= 0 || r.underWay(load):
 			newest++
@@ -208,7 +241,7 @@
 	slices.SortFunc(may, func(a, b wanted) int {
 		return cmp.Or(cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
-	more := min(max(holders/2-newest-len(must), 0), len(may))
+	more := min(max(len(group)/2-newest-len(must), 0), len(may))
 	return append(must, may[:more]...)
 }
 
