A soak of the real programs: processes, proxies, signals, and a checker of the promises

doorstep-standin soak starts nodes from their binary behind loopback proxies (one a link), injects rounds of ten kinds of faults from a seed, and checks what callers and replicas see. The stand-in replica can tell the version in each event, so a result's versions are held against the events.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,10 @@
 # prove breaks each mechanism in a scratch copy and expects the simulator to see it.
 prove:
 	scripts/prove.sh
+
+# soak runs the real programs under faults from outside with a fresh seed, after the seeds
+# that ever failed (docs/SOAK.md). SOAK_FOR is how long each runs.
+.PHONY: soak
+soak: build
+	@for seed in $$(sed 's/#.*//' bench/soak-seeds.txt); do $(BIN)/doorstep-standin soak --seed $$seed --for $(or $(SOAK_FOR),60s) || exit 1; done
+	$(BIN)/doorstep-standin soak --for $(or $(SOAK_FOR),60s)
--- /dev/null
+++ b/internal/command/standin/soak.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorstep/doorstep/internal/command"
+	"github.com/doorstep/doorstep/internal/soak"
+)
+
+// errPromise says that a soak saw a promise broken.
+var errPromise = errors.New("a promise was broken")
+
+// soakCommand runs nodes under faults and checks the promises.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run nodes as processes under faults from outside and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Usage: "the node's `PROGRAM`", Value: "bin/doorstepd"},
+			&cli.StringFlag{Name: "seed", Usage: "`NUMBER` of the schedule; a fresh one if it is not given"},
+			&cli.DurationFlag{Name: "for", Usage: "how long faults are injected", Value: time.Minute},
+			&cli.IntFlag{Name: "nodes", Usage: "nodes", Value: 4},
+			&cli.IntFlag{Name: "replicas", Usage: "replicas of each service", Value: 4},
+			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs; a new one if it is not given"},
+			&cli.BoolFlag{Name: "verbose", Usage: "tell of each fault"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	seed := uint64(time.Now().UnixNano()) % 1_000_000
+	if text := c.String("seed"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return fmt.Errorf("seed: %q is no number", text)
+		}
+		seed = number
+	}
+	dir := c.String("dir")
+	if dir == "" {
+		made, err := os.MkdirTemp("", "doorstep-soak-")
+		if err != nil {
+			return command.Fail(command.ExitFailed, err)
+		}
+		dir = made
+	}
+	w := c.Root().Writer
+	run := &soak.Soak{
+		Binary: c.String("binary"), Dir: dir, Seed: seed, For: c.Duration("for"), NodeCount: c.Int("nodes"), ReplicaCount: c.Int("replicas"),
+		Say: func(format string, values ...any) {
+			if c.Bool("verbose") {
+				fmt.Fprintf(w, format+"\n", values...)
+			}
+		},
+	}
+	report, err := run.Run(ctx)
+	if err != nil {
+		return command.Fail(command.ExitFailed, fmt.Errorf("soak %d (logs in %s): %w", seed, dir, err))
+	}
+	if c.Bool("json") {
+		if err := json.NewEncoder(w).Encode(report); err != nil {
+			return command.Fail(command.ExitFailed, err)
+		}
+	} else {
+		fmt.Fprintf(w, "soak seed %d for %s: %d violations; logs in %s\n", seed, c.Duration("for"), len(report.Violations), dir)
+		printCounts(c, "faults", report.Faults)
+		printCounts(c, "seen", report.Counts)
+		for _, violation := range report.Violations {
+			fmt.Fprintf(w, "  VIOLATION %s\n", violation)
+		}
+	}
+	if len(report.Violations) > 0 {
+		return command.Fail(command.ExitFailed, errPromise)
+	}
+	return nil
+}
+
+func printCounts(c *cli.Command, title string, counts map[string]int) {
+	fmt.Fprintf(c.Root().Writer, "  %s:", title)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(c.Root().Writer, " %s %d;", name, counts[name])
+	}
+	fmt.Fprintln(c.Root().Writer)
+}
--- a/internal/command/standin/standin.go
+++ b/internal/command/standin/standin.go
@@ -36,7 +36,7 @@
 		Usage: "stand-ins for the systems outside doorstep",
 		Commands: []*cli.Command{
 			engineCommand(), tableCommand(), objectsCommand(), weightsCommand(), machinesCommand(), scorerCommand(),
-			trainerCommand(), callersCommand(), verifyCommand(), topologyCommand(), hollowCommand(), deploymentCommand(), sessionCommand(),
+			trainerCommand(), callersCommand(), verifyCommand(), topologyCommand(), hollowCommand(), deploymentCommand(), sessionCommand(), soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/standin/model"
+	"github.com/doorstep/doorstep/platform/platformtest"
+)
+
+var job = platformtest.Job{ID: "j", Items: 2, MinVersion: 2}
+
+func text(item string, version int64) string {
+	var events []string
+	for id := int64(1); id <= model.ItemEvents(item); id++ {
+		events = append(events, platformtest.VersionedEvent(item, id, version))
+	}
+	return strings.Join(events, "\n")
+}
+
+func result(item string, version int64) platformtest.Result {
+	return platformtest.Result{ID: item, State: platformtest.Completed, Message: text(item, version), Versions: []int64{version}}
+}
+
+func signed(status int, body string) platformtest.Answer {
+	return platformtest.Answer{Status: status, Body: []byte(body), Header: http.Header{"X-Server-Stamp": {"s"}}}
+}
+
+// TestCheckerSees shows the checker a history for each promise, kept and broken.
+func TestCheckerSees(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		broken string
+		play   func(c *Checker)
+	}{
+		{"whole answer", "", func(c *Checker) { c.Answered("r", "b", signed(200, "b")) }},
+		{"foreign answer", "not \"b\"", func(c *Checker) { c.Answered("r", "b", signed(200, "a")) }},
+		{"unsigned success", "signed false", func(c *Checker) { c.Answered("r", "b", platformtest.Answer{Status: 200, Body: []byte("b")}) }},
+		{"repeatable twice", "", func(c *Checker) { c.Ran("x", "r"); c.Ran("y", "r") }},
+		{"unsafe twice", "ran 2 times", func(c *Checker) { c.AtMostOnce("r"); c.Ran("x", "r"); c.Ran("y", "r") }},
+		{"refused after its run", "was answered 503", func(c *Checker) { c.AtMostOnce("r"); c.Ran("x", "r"); c.Answered("r", "b", signed(503, "")) }},
+		{"run after its refusal", "after it was answered 429", func(c *Checker) { c.AtMostOnce("r"); c.Answered("r", "b", signed(429, "")); c.Ran("x", "r") }},
+		{"502 promises nothing", "", func(c *Checker) { c.AtMostOnce("r"); c.Ran("x", "r"); c.Answered("r", "b", signed(502, "")) }},
+		{"job as promised", "", func(c *Checker) {
+			c.Accepted(job)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-0", 2), result("j-1", 3)}})
+			c.Read("j", 1, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-1", 3)}})
+		}},
+		{"position changed", "position 0 held", func(c *Checker) {
+			c.Accepted(job)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-0", 2)}})
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-1", 2)}})
+		}},
+		{"two positions", "stands at positions 0 and 1", func(c *Checker) {
+			c.Accepted(job)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-0", 2), result("j-0", 2)}})
+		}},
+		{"wrong total", "a read says 3", func(c *Checker) { c.Accepted(job); c.Read("j", 0, platformtest.Reading{Total: 3}) }},
+		{"old version", "below 2", func(c *Checker) {
+			c.Accepted(job)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-0", 1)}})
+		}},
+		{"false version", "was made by versions [2] and names [3]", func(c *Checker) {
+			c.Accepted(job)
+			one := result("j-0", 2)
+			one.Versions = []int64{3}
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{one}})
+		}},
+		{"cut text", "events", func(c *Checker) {
+			c.Accepted(job)
+			one := result("j-0", 2)
+			one.Message = one.Message[:strings.LastIndexByte(one.Message, '\n')]
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{one}})
+		}},
+		{"given up early", "was given up", func(c *Checker) {
+			c.Accepted(job)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{{ID: "j-0", State: platformtest.Terminated}}})
+		}},
+		{"given up after the end", "", func(c *Checker) {
+			c.Accepted(job)
+			c.Ended("j")
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{{ID: "j-0", State: platformtest.Terminated}}})
+		}},
+		{"refused job ran before", "at every try", func(c *Checker) { c.Ran("x", "j-1"); c.Refused(job, 503) }},
+		{"refused job runs", "though its job", func(c *Checker) { c.Refused(job, 503); c.Ran("x", "j-1") }},
+		{"refused job, other job's item", "", func(c *Checker) { c.Refused(job, 503); c.Ran("x", "j2-1") }},
+		{"two holders of a fence", "fence 7 was used by", func(c *Checker) {
+			c.Ordered(port.OrderVersion{Fence: 7, Holder: "a"})
+			c.Ordered(port.OrderVersion{Fence: 7, Holder: "b"})
+		}},
+		{"cut stream", "ended whole with 1 of", func(c *Checker) {
+			c.Streamed("r", signed(200, "data: "+model.ItemEvent("r", 1)+"\n\n"))
+		}},
+	} {
+		checker := NewChecker()
+		c.play(checker)
+		seen := strings.Join(checker.Violations(), "; ")
+		if c.broken == "" && seen != "" || c.broken != "" && !strings.Contains(seen, c.broken) {
+			t.Errorf("%s: saw %q, should see %q", c.name, seen, c.broken)
+		}
+	}
+}
+
+func TestMissingJobsAreTold(t *testing.T) {
+	checker := NewChecker()
+	checker.Accepted(job)
+	if missing := checker.Missing(); len(missing) != 1 {
+		t.Errorf("missing %v", missing)
+	}
+	checker.Ended(job.ID)
+	if missing := checker.Missing(); len(missing) != 0 {
+		t.Errorf("an ended job needs no more results: %v", missing)
+	}
+}
--- /dev/null
+++ b/internal/soak/drain.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// drainWithin is how soon nodes in touch send nothing more to a leaving replica.
+	drainWithin = 2 * time.Second
+	drainSlack  = 500 * time.Millisecond
+	// lingerFor is how long a drained replica goes on serving.
+	lingerFor = 4 * time.Second
+)
+
+// replace takes a replica away, with a word before or without, and starts another.
+func (s *Soak) replace(r *replica, drained bool) {
+	s.mu.Lock()
+	at := slices.Index(s.replicas, r)
+	if at >= 0 {
+		s.replicas = slices.Delete(s.replicas, at, at+1)
+	}
+	s.mu.Unlock()
+	if at < 0 {
+		return
+	}
+	if err := s.addReplica(r.Service, r.Model); err != nil {
+		s.check.Violate("no replica can be started: %s", err)
+	}
+	if drained {
+		s.drain(r)
+	} else {
+		r.link.SetMode(LinkSilent)
+		time.Sleep(lingerFor)
+	}
+	r.Stop()
+	r.link.Close()
+	s.store.Remove("servers", r.ID)
+}
+
+// drain announces that a replica leaves, and holds what it runs afterwards against the
+// bound if nothing disturbed the nodes.
+func (s *Soak) drain(r *replica) {
+	calm := s.calmFor() > inTouch
+	r.Drain()
+	time.Sleep(drainWithin + drainSlack)
+	before := r.Taken()
+	time.Sleep(lingerFor)
+	if late := r.Taken() - before; late > 0 && calm && s.calmFor() > inTouch+drainWithin+drainSlack+lingerFor {
+		s.check.Violate("replica %s got %d requests later than %s after it said that it leaves", r.ID, late, drainWithin+drainSlack)
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,340 @@
+// Package soak runs the real programs as separate processes on loopback, injects faults
+// from outside them, and checks the promises to callers and replicas while it runs.
+//
+// The nodes are started from their binary. The platform's store and replicas are the
+// repository's stand-ins, within the soak's own process. Every connection between a node
+// and its surroundings passes a Proxy of its own.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/doorstep/doorstep/platform/platformtest"
+)
+
+const (
+	// readyWithin bounds the start of a node.
+	readyWithin = 15 * time.Second
+	// stopGrace is how long a node may take for its planned stop.
+	stopGrace = 10 * time.Second
+	// settleFor is how long the deployment may take to complete all jobs once the
+	// faults have ended.
+	settleFor = 30 * time.Second
+)
+
+// Soak is one run. Its fields are set before Run.
+type Soak struct {
+	// Binary is the node's program, Dir takes settings and logs.
+	Binary, Dir string
+	// Seed decides the faults and the load.
+	Seed uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// NodeCount and ReplicaCount are the sizes; replicas are counted by service.
+	NodeCount, ReplicaCount int
+	// Say is told what happens.
+	Say func(format string, values ...any)
+
+	check     *Checker
+	store     *platformtest.Store
+	server    *http.Server
+	storeAddr string
+	nodes     []*node
+	mu        sync.Mutex
+	replicas  []*replica
+	named     int
+	version   atomic.Int64
+	config    atomic.Int64
+	// configuredAt is when the newest configuration was written, in nanoseconds since
+	// started.
+	configuredAt atomic.Int64
+	started      time.Time
+	// disturbedAt is when the last fault that touches nodes or the store ended, in
+	// nanoseconds since started; faulty counts those under way.
+	disturbedAt atomic.Int64
+	faulty      atomic.Int32
+}
+
+// node is one process of the system with its links.
+type node struct {
+	name     string
+	process  *Process
+	settings string
+	// toStore is its link to the store, toClients that of its clients.
+	toStore, toClients *Proxy
+	address            string
+	// lives counts its starts; planned is set during a planned stop.
+	lives   atomic.Int32
+	planned atomic.Bool
+}
+
+// replica is a stand-in replica behind its link.
+type replica struct {
+	*platformtest.Replica
+	link *Proxy
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64
+	Violations []string
+	Counts     map[string]int
+	Faults     map[string]int
+}
+
+// Run runs the soak; an error means that it could not be carried out.
+func (s *Soak) Run(ctx context.Context) (Report, error) {
+	s.check = NewChecker()
+	s.started = time.Now()
+	defer s.end()
+	if err := s.build(); err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	s.startLoad(ctx, &load)
+	faults := s.disturb(ctx)
+	s.heal()
+	s.settle(ctx)
+	cancel()
+	load.Wait()
+	s.stopAll()
+	return Report{Seed: s.Seed, Violations: s.check.Violations(), Counts: s.check.Counts(), Faults: faults}, nil
+}
+
+func (s *Soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.Seed, stream)) }
+
+func (s *Soak) build() error {
+	if err := os.MkdirAll(s.Dir, 0o755); err != nil {
+		return err
+	}
+	s.store = platformtest.NewStore()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.storeAddr = listener.Addr().String()
+	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(listener) }()
+	s.version.Store(1)
+	s.configure()
+	for range s.ReplicaCount {
+		for _, kind := range []struct{ service, model string }{{platformtest.PlainService, ""}, {platformtest.ModelService, platformtest.Model}} {
+			if err := s.addReplica(kind.service, kind.model); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range s.NodeCount {
+		if err := s.addNode(fmt.Sprintf("node-%d", i)); err != nil {
+			return err
+		}
+	}
+	for _, n := range s.nodes {
+		if !s.waitReady(n) {
+			return fmt.Errorf("%s did not serve within %s", n.name, readyWithin)
+		}
+	}
+	return nil
+}
+
+// configure writes the next configuration; its version names a route of its own.
+func (s *Soak) configure() int64 {
+	version := s.config.Load() + 1
+	s.store.Put("op", "config", platformtest.Generation(int(version)))
+	s.config.Store(version)
+	return version
+}
+
+func (s *Soak) addReplica(service, model string) error {
+	s.mu.Lock()
+	s.named++
+	id := fmt.Sprintf("%s-%d", service, s.named)
+	s.mu.Unlock()
+	link := &Proxy{}
+	cfg := platformtest.ReplicaConfig{
+		ID: id, Service: service, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
+		Via: func(address string) string {
+			if link.Target != "" {
+				return link.listener.Addr().String()
+			}
+			link.Target = address
+			listed, err := link.Listen()
+			if err != nil {
+				panic("no loopback port: " + err.Error())
+			}
+			return listed
+		},
+		OnRun:   func(request string) { s.check.Ran(id, request) },
+		OnOrder: s.check.Ordered,
+	}
+	one, err := platformtest.StartReplicaConfig(s.store, cfg)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.replicas = append(s.replicas, &replica{Replica: one, link: link})
+	s.mu.Unlock()
+	return nil
+}
+
+func freePort() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (s *Soak) addNode(name string) error {
+	n := &node{name: name, toStore: &Proxy{Target: s.storeAddr}, settings: filepath.Join(s.Dir, name+".yaml")}
+	var addresses [3]string
+	for i := range addresses {
+		address, err := freePort()
+		if err != nil {
+			return err
+		}
+		addresses[i] = address
+	}
+	store, err := n.toStore.Listen()
+	if err != nil {
+		return err
+	}
+	n.toClients = &Proxy{Target: addresses[0]}
+	if n.address, err = n.toClients.Listen(); err != nil {
+		return err
+	}
+	settings := fmt.Sprintf(`name: %s
+zone: zone-a
+listen: {requests: %q, readiness: %q, metrics: %q}
+store: {address: %q}
+orders: {pause_ms: 3000}
+log: {level: info, json: true}
+`, name, addresses[0], addresses[1], addresses[2], store)
+	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(s.Dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	n.process = &Process{Path: s.Binary, Args: []string{"--settings", n.settings}, Log: log}
+	s.nodes = append(s.nodes, n)
+	return n.start()
+}
+
+func (n *node) start() error {
+	n.lives.Add(1)
+	n.planned.Store(false)
+	return n.process.Start()
+}
+
+func (s *Soak) waitReady(n *node) bool {
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		answer := platformtest.Client{}.Send(context.Background(), platformtest.Call{
+			Address: n.address, Method: http.MethodPost, Path: platformtest.GenerationPath(int(s.config.Load())),
+			ID: fmt.Sprintf("ready-%s-%d", n.name, time.Now().UnixNano()), Deadline: time.Second,
+		})
+		if answer.Err == nil && answer.Status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// touched notes that nodes or the store were disturbed until now.
+func (s *Soak) touched() { s.disturbedAt.Store(int64(time.Since(s.started))) }
+
+// calmFor returns for how long neither nodes nor the store were disturbed.
+func (s *Soak) calmFor() time.Duration {
+	if s.faulty.Load() > 0 {
+		return 0
+	}
+	return time.Since(s.started) - time.Duration(s.disturbedAt.Load())
+}
+
+// heal ends every fault that is left.
+func (s *Soak) heal() {
+	s.store.Silent.Store(false)
+	s.store.Refusing.Store(false)
+	s.store.Losing.Store(false)
+	s.store.Late.Store(false)
+	s.store.SlowBy.Store(0)
+	for _, n := range s.nodes {
+		for _, link := range []*Proxy{n.toStore, n.toClients} {
+			link.SetMode(LinkOpen)
+			link.SetDelay(0)
+		}
+		if !n.process.Running() {
+			_ = n.start()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replicas {
+		r.link.SetMode(LinkOpen)
+		r.link.SetDelay(0)
+		r.Broken.Store(false)
+		r.Failing.Store(false)
+		r.Full.Store(false)
+	}
+	s.touched()
+}
+
+// settle waits until all jobs are whole.
+func (s *Soak) settle(ctx context.Context) {
+	for end := time.Now().Add(settleFor); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		if len(s.check.Missing()) == 0 {
+			return
+		}
+	}
+	for _, missing := range s.check.Missing() {
+		s.check.Violate("job %s was accepted and is not whole %s after the last fault", missing, settleFor)
+	}
+}
+
+// stopAll stops every node in the planned way.
+func (s *Soak) stopAll() {
+	var stops sync.WaitGroup
+	for _, n := range s.nodes {
+		stops.Go(func() {
+			if !n.process.Running() {
+				return
+			}
+			if err := n.process.Stop(stopGrace); err != nil {
+				s.check.Violate("%s: %s", n.name, err)
+			}
+		})
+	}
+	stops.Wait()
+}
+
+// end frees what the run holds, whatever became of it.
+func (s *Soak) end() {
+	for _, n := range s.nodes {
+		if n.process.ended != nil && n.process.Running() {
+			n.process.Resume()
+			n.process.Kill()
+		}
+		n.toStore.Close()
+		n.toClients.Close()
+		_ = n.process.Log.Close()
+	}
+	for _, r := range s.replicas {
+		r.Stop()
+		r.link.Close()
+	}
+	if s.server != nil {
+		_ = s.server.Close()
+	}
+}
