--- a/internal/version/rollout/group.go
+++ b/internal/version/rollout/group.go
@@ -15,6 +15,10 @@
 	// groupSlack is by how many replicas a group may exceed its share before one is
 	// moved: a move costs a load.
 	groupSlack = 1
+	// leastGroup is how many replicas a group must have at the least; where there are
+	// fewer, every replica follows all models: a small group that loses a replica lacks
+	// more than loads cost.
+	leastGroup = 6
 )
 
 // groups assigns each replica of a service to one model. A replica loads the versions
@@ -25,6 +29,14 @@
 // again, as it starts from the model that a replica is least behind in.
 type groups struct {
 	modelOf map[string]string
+	// shared is set while every replica follows all models.
+	shared bool
+}
+
+// follows reports whether a replica loads the versions of a model.
+func (g *groups) follows(e *endpoint.Endpoint, model string) bool {
+	_, holds := e.Versions[model]
+	return holds && (g.shared || g.modelOf[e.ID] == model)
 }
 
 // member is a replica with its distance to a model's newest version.
@@ -40,7 +52,8 @@
 		g.modelOf = map[string]string{}
 	}
 	models := trainedModels(endpoints, targets, demand)
-	if len(models) == 0 {
+	g.shared = len(endpoints) < leastGroup*len(models)
+	if len(models) == 0 || g.shared {
 		return
 	}
 	sizes := groupSizes(len(endpoints), models, demand)
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -206,18 +206,14 @@
 // second version only: those that are two behind must move; of the others so many move
 // that half have the newest.
 func (r *Rollout) wanted(members []*endpoint.Endpoint) []wanted {
-	grouped := map[string][]*endpoint.Endpoint{}
-	for _, e := range members {
-		model := r.groups.modelOf[e.ID]
-		grouped[model] = append(grouped[model], e)
-	}
 	var list []wanted
-	for model, group := range grouped {
+	for _, model := range slices.Sorted(maps.Keys(r.targets)) {
+		group := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return !r.groups.follows(e, model) })
 		list = append(list, r.wantedOf(model, group)...)
 	}
 	slices.SortFunc(list, func(a, b wanted) int {
 		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight),
-			cmp.Compare(a.endpoint.ID, b.endpoint.ID))
+			cmp.Compare(a.endpoint.ID, b.endpoint.ID), cmp.Compare(a.model, b.model))
 	})
 	return list
 }
