Fewer reads of the store: the lease in the shared table, watches that yield, rarer whole reads

Cause: at 300 machines a configuration was in force after 3.4 s (bound 3.3). A node made 3.75 idle calls a second for its three watches, 2.75 and more for whole reads every 4 s, and 1.4 for the lease: some 2,400 of the 2,000 reads a second that the store bears, before any change woke a watch. Refusals hit the configuration's watch like the others.

Change: the lease's record is watched with the shared table instead of polled (the conditional write at the revision that stood still proves that nobody renewed); the tables that change often are held longer (1.6 s), read whole every 8 and 16 s instead of 4, and stretch the pause between calls under refusals up to a bound; the configuration's watch yields to none. A head's standing still counts only as far as the watch has heard.

--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -292,7 +292,7 @@
 
 func (g *gathering) leases() [][]string {
 	var rows [][]string
-	for _, record := range g.read(cluster.LeaseTable, cluster.LeaseTable, "") {
+	for _, record := range g.read(port.SharedTable, cluster.LeasePartition, "") {
 		lease := &doorstepv1.OrderLease{}
 		g.decode(record, lease)
 		rows = append(rows, []string{record.Key, lease.Holder, strconv.FormatBool(lease.Ordering)})
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	// headGather is the pause between two looks at the heads of batch jobs.
-	headGather = 40 * time.Millisecond
 	// rolloutRoom is how many items of batch jobs a replica may hold, as a multiple
 	// of its slots.
 	rolloutRoom = 1.5
@@ -37,8 +35,28 @@
 	// leaveAfter is how long a stopping node goes on taking connections, so that
 	// nothing is sent to it in vain before all know.
 	leaveAfter = 3 * time.Second
-	// LeaseTable holds the leases, in a partition of that name.
-	LeaseTable = "leases"
+	// LeasePartition holds the leases, in the shared table.
+	LeasePartition = "leases"
+)
+
+// Paces of the watches. Reads of the store are a budget that all nodes share: the tables
+// that change often yield to the one that tells of the configuration.
+const (
+	// configurationWait is short, so that a silent store is noticed within the bound of
+	// a configuration; the others are held longer.
+	configurationWait = 800 * time.Millisecond
+	usualWait         = 1600 * time.Millisecond
+	// replicaGather and sharedGather are the pauses in which changes gather, the others
+	// bound them under refusals: a leaving replica must be known within its bound, and a
+	// silent owner be noticed soon.
+	replicaGather     = 20 * time.Millisecond
+	mostReplicaGather = 800 * time.Millisecond
+	sharedGather      = 40 * time.Millisecond
+	mostSharedGather  = 1200 * time.Millisecond
+	// Whole reads look for changes that a watch missed.
+	configurationReread = 4 * time.Second
+	replicaReread       = 8 * time.Second
+	sharedReread        = 16 * time.Second
 )
 
 // DeploymentDecoder reads the records in which the platform keeps what operators,
@@ -61,16 +79,18 @@
 
 // Node is one node; all calls come from one loop.
 type Node struct {
-	options    Options
-	queue      *task.Queue
-	random     *rand.Rand
-	routes     *routes.Table
-	splitter   *routes.Splitter
-	endpoints  *endpoint.Registry
-	jobs       *batch.Jobs
-	lease      *recordlease.Lease
-	rollout    *rollout.Rollout
-	watches    []*recordwatch.Watch
+	options   Options
+	queue     *task.Queue
+	random    *rand.Rand
+	routes    *routes.Table
+	splitter  *routes.Splitter
+	endpoints *endpoint.Registry
+	jobs      *batch.Jobs
+	lease     *recordlease.Lease
+	rollout   *rollout.Rollout
+	watches   []*recordwatch.Watch
+	// shared is the watch of the shared table, the last of the watches.
+	shared     *recordwatch.Watch
 	operators  *doorstepv1.Configuration
 	drained    bool
 	status     statusWriter
@@ -93,12 +113,12 @@
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
 		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
 		Latency:    func() time.Duration { return n.latency.longest },
-		LengthHint: options.Decoder.LengthHint,
+		LengthHint: options.Decoder.LengthHint, Observed: n.observed,
 	})
 	n.lease = recordlease.New(recordlease.Options{
-		Key:    port.RecordKey{Table: LeaseTable, Partition: LeaseTable, Key: "version-orders"},
+		Key:    port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: "version-orders"},
 		Holder: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Pause: options.OrderPause,
-		Jitter: n.random.Float64(),
+		Jitter: n.random.Float64(), Observed: n.observed,
 	})
 	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand})
 	n.operators = configuration.Empty()
@@ -107,33 +127,59 @@
 	return n
 }
 
+// observed returns the time up to which a change of the shared table would have been heard
+// of, zero before it was read.
+func (n *Node) observed(now time.Time) time.Time {
+	if !n.shared.Read() {
+		return time.Time{}
+	}
+	return n.shared.ObservedUntil(now)
+}
+
 func (n *Node) watchTables() {
 	for _, table := range n.options.Decoder.DeploymentTables() {
-		n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
+		options := recordwatch.Options{
 			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(),
+			Wait: configurationWait, Reread: configurationReread,
 			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
 			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
 			OnHealth: func(time.Time, bool) {},
-		}))
+		}
+		if n.listsReplicas(table) {
+			options.Wait, options.Reread = usualWait, replicaReread
+			options.Gather, options.MostGather = replicaGather, mostReplicaGather
+		}
+		n.watches = append(n.watches, recordwatch.New(options))
 	}
-	partitions := []string{configuration.Partition}
+	partitions := []string{configuration.Partition, LeasePartition}
 	for number := range batch.Partitions {
 		partitions = append(partitions, batch.PartitionName(number))
 	}
-	n.watches = append(n.watches, recordwatch.New(recordwatch.Options{
-		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Gather: headGather, Jitter: n.random.Float64(),
-		OnList: n.onShared, OnChange: n.onShared, OnHealth: n.jobs.Observing,
-	}))
+	n.shared = recordwatch.New(recordwatch.Options{
+		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(),
+		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
+		OnList: n.onShared, OnChange: n.onShared, OnHealth: n.onSharedHealth,
+	})
+	n.watches = append(n.watches, n.shared)
+}
+
+// onSharedHealth notes that the watch of the shared table broke or is whole again.
+func (n *Node) onSharedHealth(now time.Time, healthy bool) {
+	n.jobs.Observing(now, healthy)
+	n.lease.Observing(now, healthy)
 }
 
 // onShared takes records that all nodes share.
 func (n *Node) onShared(now time.Time, records []port.Record) {
 	for _, record := range records {
-		if record.Partition == configuration.Partition {
+		switch record.Partition {
+		case configuration.Partition:
 			n.onOperators(now, record)
-			continue
+		case LeasePartition:
+			n.lease.OnRecord(now, record)
+		default:
+			n.jobs.OnHead(now, record)
 		}
-		n.jobs.OnHead(now, record)
 	}
 }
 
@@ -190,15 +236,16 @@
 	if n.Stopping() || n.drained || n.routes == nil {
 		return false
 	}
+	answered := time.Time{}
 	for _, watch := range n.watches {
 		if !watch.Read() {
 			return false
 		}
-		if now.Sub(watch.AnswerAt()) > unreadyAfter {
-			return false
+		if watch.AnswerAt().After(answered) {
+			answered = watch.AnswerAt()
 		}
 	}
-	return true
+	return now.Sub(answered) <= unreadyAfter
 }
 
 // Stop begins the planned stop: duties are handed over, requests are still served.
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -12,15 +12,17 @@
 )
 
 const (
-	// wait is how long the store may hold one call of a watch.
-	wait = 800 * time.Millisecond
-	// rereadEvery bounds how long a change may go unseen that the watch missed.
-	rereadEvery = 4 * time.Second
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 60 * time.Millisecond
 	longestPause = 500 * time.Millisecond
 	// refusedFor is how long a watch may be refused before it counts as broken.
 	refusedFor = 1200 * time.Millisecond
+	// gatherStep is the least that a refusal adds to the pause between two calls, and
+	// gatherDecay the part of that pause that is left with each call that is answered.
+	gatherStep  = 80 * time.Millisecond
+	gatherDecay = 0.9
+	// answerWithin is how soon a watch is answered if there was a change before its call.
+	answerWithin = 100 * time.Millisecond
 )
 
 // Options configure a Watch.
@@ -28,9 +30,16 @@
 	Table      string
 	Partitions []string
 	Queue      *task.Queue
-	// Gather is the pause between two calls, in which changes gather.
-	Gather time.Duration
-	// Jitter, from 0 to 1, spreads the nodes' calls after a refusal.
+	// Wait is how long the store may hold one call.
+	Wait time.Duration
+	// Reread is how long a change may go unseen that the watch missed: the table is read
+	// whole that often. 0 reads it only after trouble.
+	Reread time.Duration
+	// Gather is the pause between two calls, in which changes gather. It grows up to
+	// MostGather while the store refuses calls: all nodes share its budget, so each finds
+	// the pace that it bears. A watch whose two are equal yields to none.
+	Gather, MostGather time.Duration
+	// Jitter, from 0 to 1, spreads the nodes' calls.
 	Jitter float64
 	// OnList takes the whole table, OnChange records that changed.
 	OnList   func(now time.Time, records []port.Record)
@@ -45,6 +54,11 @@
 	busy    bool
 	nextAt  time.Time
 	pause   time.Duration
+	// gather is the present pause between two calls.
+	gather time.Duration
+	// watching is set while a call of the watch is under way that was sent at sentAt.
+	watching bool
+	sentAt   time.Time
 	// listing is the partition being read, or the number of partitions once all are.
 	listing  int
 	from     string
@@ -57,7 +71,10 @@
 }
 
 // New returns a watch that has read nothing.
-func New(options Options) *Watch { return &Watch{options: options, pause: firstPause} }
+func New(options Options) *Watch {
+	options.MostGather = max(options.MostGather, options.Gather)
+	return &Watch{options: options, pause: firstPause, gather: options.Gather}
+}
 
 // Read reports whether the table was read whole at least once.
 func (w *Watch) Read() bool { return w.everRead }
@@ -78,7 +95,17 @@
 		w.list()
 		return
 	}
-	w.options.Queue.Add(task.Watch{Table: w.options.Table, After: w.after, Wait: wait, Done: w.onChanges})
+	w.watching, w.sentAt = true, now
+	w.options.Queue.Add(task.Watch{Table: w.options.Table, After: w.after, Wait: w.options.Wait, Done: w.onChanges})
+}
+
+// ObservedUntil returns the time up to which changes would have been heard of: until now
+// while a call waits at the store, else until the last answer.
+func (w *Watch) ObservedUntil(now time.Time) time.Time {
+	if w.watching && now.Sub(w.sentAt) > answerWithin {
+		return now
+	}
+	return w.answerAt
 }
 
 func (w *Watch) list() {
@@ -138,15 +165,10 @@
 	w.options.OnHealth(now, healthy)
 }
 
-// easeOff paces the calls of a watch that was refused: all nodes share the store's
-// budget, so each finds the pace that the store bears, and returns to its own slowly.
-func (w *Watch) easeOff(now time.Time) {
-	if w.pause > firstPause {
-		if next := now.Add(w.pause); next.After(w.nextAt) {
-			w.nextAt = next
-		}
-	}
+// next paces the call behind one that was answered.
+func (w *Watch) next(now time.Time) {
 	w.pause = max(firstPause, w.pause*3/4)
+	w.gather = max(w.options.Gather, time.Duration(gatherDecay*float64(w.gather)))
 }
 
 // refused makes the same call later. Nothing was missed: the watch goes on from where it
@@ -154,6 +176,7 @@
 func (w *Watch) refused(now time.Time) {
 	w.nextAt = now.Add(w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause)))
 	w.pause = min(2*w.pause, longestPause)
+	w.gather = min(max(2*w.gather, w.gather+gatherStep), w.options.MostGather)
 	if w.healthy && now.Sub(w.answerAt) > refusedFor {
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(port.RecordRefused), "revision", w.after)
 		w.setHealthy(now, false)
@@ -161,7 +184,7 @@
 }
 
 func (w *Watch) onChanges(now time.Time, result port.RecordResult) {
-	w.busy = false
+	w.busy, w.watching = false, false
 	if result.Status == port.RecordRefused {
 		w.refused(now)
 		return
@@ -175,15 +198,20 @@
 	w.after = max(w.after, result.Revision)
 	if len(result.Records) > 0 {
 		w.options.OnChange(now, result.Records)
-		w.nextAt = now.Add(w.options.Gather)
+		w.nextAt = now.Add(w.gather)
 	}
-	w.easeOff(now)
-	if now.Sub(w.listedAt) >= rereadEvery {
+	w.next(now)
+	if w.options.Reread > 0 && now.Sub(w.listedAt) >= w.rereadAfter() {
 		w.listing = 0
 	}
 	w.Tick(now)
 }
 
+// rereadAfter spreads the nodes' whole reads over half of their interval.
+func (w *Watch) rereadAfter() time.Duration {
+	return w.options.Reread/2 + time.Duration((1+w.options.Jitter)/2*float64(w.options.Reread)/2)
+}
+
 // failed begins anew with a whole read. History that is gone is no trouble of the
 // store's, so the read follows at once.
 func (w *Watch) failed(now time.Time, status port.RecordStatus) {
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -81,6 +81,8 @@
 	Route func(host, path string) *port.Route
 	// Latency returns how long calls to the store take of late.
 	Latency func() time.Duration
+	// Observed returns the time up to which a change of a head would have been heard of.
+	Observed func(now time.Time) time.Time
 	// Clock returns the least and the most that the store's steady clock may show;
 	// known is false before the store's first answer.
 	Clock func(now time.Time) (least, most time.Duration, known bool)
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -18,13 +18,15 @@
 
 // bench is one node's jobs over a store, with every call in the test's hands.
 type bench struct {
-	now     time.Time
-	store   *model.Records
-	queue   *task.Queue
-	jobs    *Jobs
-	one     *endpoint.Endpoint
-	route   *port.Route
-	clock   bool
+	now   time.Time
+	store *model.Records
+	queue *task.Queue
+	jobs  *Jobs
+	one   *endpoint.Endpoint
+	route *port.Route
+	clock bool
+	// unheard is for how long the watch has not heard.
+	unheard time.Duration
 	latency time.Duration
 	runs    []task.Run
 	stopped map[uint64]bool
@@ -45,6 +47,7 @@
 		Find:       func(string) *endpoint.Endpoint { return b.one },
 		Route:      func(string, string) *port.Route { return b.route },
 		Latency:    func() time.Duration { return b.latency },
+		Observed:   func(now time.Time) time.Time { return now.Add(-b.unheard) },
 		LengthHint: func(http.Header) int { return 0 },
 		Clock: func(now time.Time) (time.Duration, time.Duration, bool) {
 			return now.Sub(epoch), now.Sub(epoch), b.clock
@@ -372,6 +375,7 @@
 		{"a silent owner", func(_, _ *bench) {}, takeoverAfter + 2*takeoverSpread, true, true},
 		{"a silent owner, too early", func(_, _ *bench) {}, takeoverAfter - 100*time.Millisecond, false, true},
 		{"a silent owner, but the store is slow", func(_, other *bench) { other.latency = time.Second }, takeoverAfter + 2*takeoverSpread, false, true},
+		{"a silent owner, but the watch has not heard of late", func(_, other *bench) { other.unheard = 10 * time.Second }, 10 * time.Second, false, true},
 		{"a silent owner, but the watch is broken", func(_, _ *bench) {}, 10 * time.Second, false, false},
 		{"handed over", func(owner, _ *bench) { owner.jobs.Stop(owner.now); owner.settle(); finishAll(owner) }, takeoverSpread, true, true},
 		{"ended", func(owner, _ *bench) {
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -79,8 +79,9 @@
 	if known.Owner == "" {
 		return unchanged >= spread/2
 	}
-	// The time before the watch began says nothing of the owner.
-	return min(unchanged, now.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread
+	// The time before the watch began, and since it last heard, says nothing of the owner.
+	observed := j.options.Observed(now)
+	return min(observed.Sub(known.changedAt), observed.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread
 }
 
 func (j *Jobs) take(now time.Time, id string, known *head) {
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -21,11 +21,12 @@
 const (
 	// Validity is how long a renewal counts after it was sent.
 	Validity = 1500 * time.Millisecond
-	// renewEvery paces the holder, pollEvery the challengers.
+	// renewEvery paces the holder.
 	renewEvery = 500 * time.Millisecond
-	pollEvery  = 700 * time.Millisecond
-	// takeoverAfter is how long the record must stand unchanged.
-	takeoverAfter = 2 * time.Second
+	// takeoverAfter is how long the record must stand unchanged, takeoverSpread spreads
+	// the challengers.
+	takeoverAfter  = 2 * time.Second
+	takeoverSpread = 700 * time.Millisecond
 	// pauseMargin is added to the pause between two holders.
 	pauseMargin = 300 * time.Millisecond
 )
@@ -40,6 +41,9 @@
 	Pause time.Duration
 	// Jitter, from 0 to 1, spreads the challengers.
 	Jitter float64
+	// Observed returns the time up to which a change of the record would have been heard
+	// of, zero before the record was read.
+	Observed func(now time.Time) time.Time
 }
 
 // Lease is one node's view; it belongs to the node's loop.
@@ -48,10 +52,9 @@
 
 	row      *doorstepv1.OrderLease
 	revision int64
-	known    bool
-	// changedAt is when this node saw the record change, checkedAt when it last
-	// saw the record at all.
-	changedAt, checkedAt time.Time
+	// changedAt is when this node saw the record change, or could see it again after a
+	// time in which it could not.
+	changedAt time.Time
 
 	held       bool
 	fence      int64
@@ -107,8 +110,8 @@
 		l.Resign(now)
 	case l.held:
 		l.renew(now)
-	case !l.resigned:
-		l.poll(now)
+	case !l.resigned && l.free(now):
+		l.acquire(now)
 	}
 }
 
@@ -121,25 +124,6 @@
 	l.options.Queue.Log(event.LeaseLost, "lease", l.options.Key.Key, "fence", l.fence, "reason", reason)
 }
 
-func (l *Lease) poll(now time.Time) {
-	l.busy = true
-	key := l.options.Key
-	l.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"},
-		Done: func(now time.Time, result port.RecordResult) {
-			l.busy = false
-			l.nextAt = now.Add(pollEvery)
-			if result.Status != port.RecordDone {
-				return
-			}
-			l.observe(now, firstRecord(result))
-			if l.free(now) && !l.resigned {
-				l.acquire(now)
-			}
-		},
-	})
-}
-
 func firstRecord(result port.RecordResult) port.Record {
 	if len(result.Records) == 0 {
 		return port.Record{}
@@ -147,33 +131,50 @@
 	return result.Records[0]
 }
 
-// observe takes the record as it was read. After a time in which the record could not
-// be read, the wait for it to stand still begins anew.
-func (l *Lease) observe(now time.Time, record port.Record) {
-	gap := now.Sub(l.checkedAt) > takeoverAfter/2
-	l.checkedAt = now
-	if l.known && record.Revision == l.revision && !gap {
+// OnRecord takes the record from the watch or from a conflict. What comes late is older
+// than what is known and is passed over.
+func (l *Lease) OnRecord(now time.Time, record port.Record) {
+	if record.Revision <= l.revision {
 		return
 	}
-	if !l.known || record.Revision != l.revision || gap {
-		l.changedAt = now
-	}
-	l.known = true
 	l.revision = record.Revision
+	l.changedAt = now
 	row := &doorstepv1.OrderLease{}
 	if err := proto.Unmarshal(record.Value, row); err == nil {
 		l.row = row
 	}
+	if l.held && !l.own() {
+		l.lose("taken by " + l.row.Holder)
+	}
+}
+
+// Observing notes whether the record can be seen. After a time in which it could not, the
+// wait for it to stand still begins anew: its holder, which was cut off alike, may go on.
+func (l *Lease) Observing(now time.Time, observing bool) {
+	if observing {
+		l.changedAt = now
+	}
 }
 
+// own reports whether the record names this life of this node.
+func (l *Lease) own() bool {
+	return l.row.Holder == l.options.Holder && l.row.Incarnation == l.options.Incarnation
+}
+
+// free reports whether the lease may be taken. Taking it demands the revision that stood
+// still, so that nobody renewed it meanwhile; a wrong guess costs a call and no more.
 func (l *Lease) free(now time.Time) bool {
+	observed := l.options.Observed(now)
+	if observed.IsZero() {
+		return false
+	}
 	// A record that names this node is from a former life, or from an acquisition
 	// whose answer was lost: no other process acts under it.
 	if l.row.Holder == "" || l.row.Holder == l.options.Holder {
 		return true
 	}
-	jitter := time.Duration(l.options.Jitter * float64(pollEvery))
-	return now.Sub(l.changedAt) >= takeoverAfter+jitter
+	jitter := time.Duration(l.options.Jitter * float64(takeoverSpread))
+	return observed.Sub(l.changedAt) >= takeoverAfter+jitter
 }
 
 func (l *Lease) acquire(now time.Time) {
@@ -189,6 +190,7 @@
 	}
 	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
 		if result.Status != port.RecordDone {
+			l.adopt(now, result)
 			return
 		}
 		l.held = true
@@ -219,23 +221,22 @@
 			l.validUntil = sentAt.Add(Validity)
 			l.declared = next.Ordering
 			l.nextAt = sentAt.Add(renewEvery)
-		case result.Status == port.RecordConflict:
-			l.adopt(now, firstRecord(result))
+		default:
+			l.adopt(now, result)
 		}
 	})
 }
 
-// adopt takes the record after a conflict: it is either this node's own renewal whose
+// adopt takes the record after a conflict: it is either this node's own write whose
 // answer was lost, or another holder's.
-func (l *Lease) adopt(now time.Time, record port.Record) {
-	l.observe(now, record)
-	if l.row.Holder != l.options.Holder || l.row.Incarnation != l.options.Incarnation {
-		if l.held {
-			l.lose("taken by " + l.row.Holder)
-		}
+func (l *Lease) adopt(now time.Time, result port.RecordResult) {
+	if result.Status != port.RecordConflict {
 		return
 	}
-	l.nextAt = now
+	l.OnRecord(now, firstRecord(result))
+	if l.held && l.own() {
+		l.nextAt = now
+	}
 }
 
 func (l *Lease) commit(now time.Time, next *doorstepv1.OrderLease, done func(now, sentAt time.Time, result port.RecordResult)) {
@@ -257,7 +258,6 @@
 				l.row = next
 				l.revision = result.Revision
 				l.changedAt = now
-				l.checkedAt = now
 			}
 			done(now, sentAt, result)
 		},
