--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -71,11 +71,11 @@
 func (a *Agent) refuseOutcome(w http.ResponseWriter, id string, outcome batch.Outcome) {
 	switch outcome {
 	case batch.Absent:
-		a.refuse(w, id, http.StatusNotFound, 0, "no such batch job")
+		a.refuse(w, id, http.StatusNotFound, 0, reasonNoJob)
 	case batch.Unsure:
-		a.refuse(w, id, http.StatusGatewayTimeout, 0, "the store did not answer")
+		a.refuse(w, id, http.StatusGatewayTimeout, 0, reasonStoreSilent)
 	case batch.NotDone, batch.Done:
-		a.refuse(w, id, http.StatusServiceUnavailable, comeBack, "the store can't be reached")
+		a.refuse(w, id, http.StatusServiceUnavailable, comeBack, reasonStoreRefuses)
 	}
 }
 
--- a/internal/process/agent/log.go
+++ b/internal/process/agent/log.go
@@ -35,6 +35,8 @@
 	shifts           atomic.Int32
 	dropped, sampled atomic.Uint64
 	added            atomic.Uint64
+	// leftOut counts all lines left out since the start.
+	leftOut atomic.Uint64
 }
 
 type line struct {
@@ -97,6 +99,7 @@
 // adapt tells once a second what was left out, and sets the sampling by the rate.
 func (l *eventLog) adapt() {
 	dropped, sampled := l.dropped.Swap(0), l.sampled.Swap(0)
+	l.leftOut.Add(dropped + sampled)
 	if dropped+sampled > 0 {
 		l.write(line{event.LogLinesDropped, l.clock(), []any{"dropped", dropped, "sampled", sampled}})
 	}
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,13 +20,17 @@
 // latencyBuckets are the bounds of the latency histograms, in seconds.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
+// runBuckets are those of items, whose texts take seconds.
+var runBuckets = []float64{.01, .05, .1, .25, .5, 1, 2, 4, 8, 16, 32}
+
 // metrics are the process's own figures.
 type metrics struct {
 	registry   *prometheus.Registry
 	answers    *prometheus.HistogramVec
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
-	runs       *prometheus.CounterVec
+	runs       *prometheus.HistogramVec
+	waits      prometheus.Histogram
 	jobs       *prometheus.CounterVec
 	storeCalls *prometheus.HistogramVec
 }
@@ -36,17 +41,19 @@
 		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_request_seconds",
 			Help: "Time to a replica's answer, by route and status.", Buckets: latencyBuckets}, []string{"route", "status"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_refusals_total",
-			Help: "Answers of the node's own, by status."}, []string{"status"}),
+			Help: "Answers of the node's own, by status and reason."}, []string{"status", "reason"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_attempts_total",
 			Help: "Tries at replicas, by outcome."}, []string{"outcome"}),
-		runs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_item_runs_total",
-			Help: "Runs of items of batch jobs, by outcome."}, []string{"outcome"}),
+		runs: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_item_run_seconds",
+			Help: "Time that a run of an item of a batch job took, by outcome.", Buckets: runBuckets}, []string{"outcome"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "doorstep_item_queue_seconds",
+			Help: "Time that an item of a batch job waited at its owner for a replica.", Buckets: runBuckets}),
 		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_batch_jobs_total",
 			Help: "Batch jobs handed in, by outcome."}, []string{"outcome"}),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_store_call_seconds",
 			Help: "Calls to the record store, by kind and outcome.", Buckets: latencyBuckets}, []string{"call", "outcome"}),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.jobs, m.storeCalls)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.waits, m.jobs, m.storeCalls)
 	m.registerGauges(a)
 	return m
 }
@@ -65,6 +72,13 @@
 		}
 		return float64(a.node.Routes().Version())
 	})
+	gauge("doorstep_configuration_age_seconds", "Time since the store last confirmed the configuration, or told of a newer one.", func() float64 {
+		return a.node.ConfigurationAge(time.Now()).Seconds()
+	})
+	gauge("doorstep_discovery_age_seconds", "Time since the store last confirmed the list of replicas, or told of a change.", func() float64 {
+		return a.node.DiscoveryAge(time.Now()).Seconds()
+	})
+	gauge("doorstep_replicas", "Replicas listed.", func() float64 { return float64(len(a.node.Endpoints().All())) })
 	gauge("doorstep_ready", "1 while the node wants new connections.", func() float64 {
 		if a.node.Ready(time.Now()) {
 			return 1
@@ -93,6 +107,8 @@
 		_, _, _, waiting := a.node.Jobs().Counts()
 		return float64(waiting)
 	})
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "doorstep_log_lines_dropped_total",
+		Help: "Log lines left out, as the ring was full or the budget spent."}, func() float64 { return float64(a.log.leftOut.Load()) }))
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "doorstep_replica_connections_total",
 		Help: "Connections opened to replicas."}, func() float64 { return float64(a.upstream.Opened()) }))
 }
@@ -101,19 +117,32 @@
 	m.answers.WithLabelValues(route.Name, strconv.Itoa(status)).Observe(took.Seconds())
 }
 
-func (m *metrics) refusal(status int) { m.refusals.WithLabelValues(strconv.Itoa(status)).Inc() }
+func (m *metrics) refusal(status int, reason string) {
+	if !slices.Contains(refusalReasons, reason) {
+		reason = "other"
+	}
+	m.refusals.WithLabelValues(strconv.Itoa(status), reason).Inc()
+}
+
+// refusalReasons are the reasons that are told apart in the figures; those that hold a
+// caller's input would make a label for each.
+var refusalReasons = []string{
+	reasonNoConfiguration, reasonNoRoute, reasonLargeHead, reasonNoID, reasonLargeBody, reasonCutBody, reasonNoJob, reasonStoreSilent,
+	reasonStoreRefuses, relay.ReasonDeadline, relay.ReasonNoAttempt,
+}
 
 func (m *metrics) attempt(outcome relay.Outcome) {
 	names := map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken"}
 	m.attempts.WithLabelValues(names[outcome]).Inc()
 }
 
-func (m *metrics) run(outcome task.RunOutcome) {
+func (m *metrics) run(outcome task.RunOutcome, waited, took time.Duration) {
 	names := map[task.RunOutcome]string{
 		task.RunCompleted: "completed", task.RunInterrupted: "interrupted", task.RunFailed: "failed",
 		task.RunImpossible: "impossible", task.RunRefused: "refused", task.RunUnreachable: "unreachable", task.RunSlow: "slow",
 	}
-	m.runs.WithLabelValues(names[outcome]).Inc()
+	m.runs.WithLabelValues(names[outcome]).Observe(took.Seconds())
+	m.waits.Observe(waited.Seconds())
 }
 
 func (m *metrics) accepted(outcome batch.Outcome) {
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -23,8 +23,9 @@
 func (a *Agent) run(ctx context.Context, t task.Run) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	startedAt := time.Now()
 	result := a.stream(ctx, cancel, t)
-	a.metrics.run(result.Outcome)
+	a.metrics.run(result.Outcome, t.Waited, time.Since(startedAt))
 	a.do(func(now time.Time) {
 		delete(a.runs, t.ID)
 		t.Done(now, result)
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -19,6 +19,19 @@
 	bodyWithin = 30 * time.Second
 )
 
+// Reasons of refusals.
+const (
+	reasonNoConfiguration = "no configuration yet"
+	reasonNoRoute         = "no such route"
+	reasonLargeHead       = "the head is too large"
+	reasonNoID            = "the request has no id"
+	reasonLargeBody       = "the body is too large"
+	reasonCutBody         = "the body did not come whole"
+	reasonNoJob           = "no such batch job"
+	reasonStoreSilent     = "the store did not answer"
+	reasonStoreRefuses    = "the store can't be reached"
+)
+
 // serve takes every call of clients.
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
 	id := a.protocol.RequestID(r.Header)
@@ -34,7 +47,7 @@
 		return
 	}
 	if table == nil {
-		a.refuse(w, id, http.StatusServiceUnavailable, comeBack, "no configuration yet")
+		a.refuse(w, id, http.StatusServiceUnavailable, comeBack, reasonNoConfiguration)
 		return
 	}
 	route := table.Match(r.Host, r.URL.Path)
@@ -43,16 +56,16 @@
 		return
 	}
 	if route == nil {
-		a.refuse(w, id, http.StatusNotFound, 0, "no such route")
+		a.refuse(w, id, http.StatusNotFound, 0, reasonNoRoute)
 		return
 	}
 	limits := table.Limits()
 	if limits.HeaderBytes > 0 && headSize(r) > limits.HeaderBytes {
-		a.refuse(w, id, http.StatusRequestHeaderFieldsTooLarge, 0, "the head is too large")
+		a.refuse(w, id, http.StatusRequestHeaderFieldsTooLarge, 0, reasonLargeHead)
 		return
 	}
 	if id == "" {
-		a.refuse(w, id, http.StatusBadRequest, 0, "the request has no id")
+		a.refuse(w, id, http.StatusBadRequest, 0, reasonNoID)
 		return
 	}
 	body, ok := a.readBody(w, r, id, limits.BodyBytes)
@@ -86,7 +99,7 @@
 	if limit > 0 {
 		if r.ContentLength > limit {
 			w.Header().Set("Connection", "close")
-			a.refuse(w, id, http.StatusRequestEntityTooLarge, 0, "the body is too large")
+			a.refuse(w, id, http.StatusRequestEntityTooLarge, 0, reasonLargeBody)
 			return nil, false
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
@@ -101,9 +114,9 @@
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		a.refuse(w, id, http.StatusRequestEntityTooLarge, 0, "the body is too large")
+		a.refuse(w, id, http.StatusRequestEntityTooLarge, 0, reasonLargeBody)
 	} else {
-		a.refuse(w, id, http.StatusRequestTimeout, 0, "the body did not come whole")
+		a.refuse(w, id, http.StatusRequestTimeout, 0, reasonCutBody)
 	}
 	return nil, false
 }
@@ -125,6 +138,6 @@
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(content)
-	a.metrics.refusal(status)
+	a.metrics.refusal(status, reason)
 	a.log.add(event.RequestRefused, append([]any{"request", id, "status", status, "reason", reason, "retry_after_ms", after.Milliseconds()}, fields...)...)
 }
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -206,6 +206,23 @@
 	return n.routes.Match(host, path)
 }
 
+// ConfigurationAge returns how old the confirmation of the configuration in force is.
+func (n *Node) ConfigurationAge(now time.Time) time.Duration { return n.age(now, n.watches[0]) }
+
+// DiscoveryAge returns how old the confirmation of the list of replicas is.
+func (n *Node) DiscoveryAge(now time.Time) time.Duration {
+	return n.age(now, n.watches[len(n.options.Decoder.DeploymentTables())-1])
+}
+
+// age returns how long a watch has not heard; one that never has is as old as the node.
+func (n *Node) age(now time.Time, watch *recordwatch.Watch) time.Duration {
+	observed := watch.ObservedUntil(now)
+	if observed.Before(n.startedAt) {
+		observed = n.startedAt
+	}
+	return now.Sub(observed)
+}
+
 // Tick drives all machines.
 func (n *Node) Tick(now time.Time) {
 	for _, watch := range n.watches {
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -39,6 +39,8 @@
 	Body         []byte
 	// Limit is the time granted to the replica.
 	Limit time.Duration
+	// Waited is how long the item had waited for a replica.
+	Waited time.Duration
 	// Urgent asks the replica to admit the run before others.
 	Urgent bool
 	// After is the id of the event to continue behind, 0 for the beginning.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -21,6 +21,12 @@
 	defaultDeadline = 30 * time.Second
 )
 
+// Reasons of failures.
+const (
+	ReasonDeadline  = "deadline"
+	ReasonNoAttempt = "no attempt left"
+)
+
 // Outcome is how an attempt ended.
 type Outcome int
 
@@ -133,7 +139,7 @@
 		return Decision{Action: Deliver}
 	}
 	if r.Left(now) <= 0 {
-		return r.fail("deadline")
+		return r.fail(ReasonDeadline)
 	}
 	if r.mayLaunch(now) {
 		return Decision{Action: Launch}
@@ -144,7 +150,7 @@
 	if r.errored {
 		return Decision{Action: Deliver}
 	}
-	return r.fail("no attempt left")
+	return r.fail(ReasonNoAttempt)
 }
 
 // mayLaunch reports whether another attempt is allowed and called for.
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -64,6 +64,8 @@
 	generation, keptEvents, keptParts int
 	result                            *doorstepv1.BatchResult
 	finishedAt                        time.Time
+	// waitsSince is when it began to wait for a replica.
+	waitsSince time.Time
 	// startedAt is when its first run was sent, runs counts them.
 	startedAt time.Time
 	runs      int
@@ -77,12 +79,13 @@
 }
 
 // prepare reads the items' headers, and marks those that are expected to be longest.
-func (o *ownedJob) prepare() {
+func (o *ownedJob) prepare(now time.Time) {
 	hints := make([]int, len(o.items))
 	order := make([]int, len(o.items))
 	for i, content := range o.job.Items {
 		header := itemHeader(content)
 		o.items[i].header = header
+		o.items[i].waitsSince = now
 		hints[i] = o.jobs.options.LengthHint(header)
 		order[i] = i
 	}
@@ -187,7 +190,7 @@
 	sentAt := now
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
-		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, After: lastEvent(one.events), Urgent: one.long,
+		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, Waited: now.Sub(one.waitsSince), After: lastEvent(one.events), Urgent: one.long,
 		FirstWithin: firstWithin(now, chosen, one.interruptions), NextWithin: o.nextSilence(one, route),
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			return o.onProgress(now, index, run, events, pace)
@@ -287,6 +290,7 @@
 		return
 	}
 	one.state = itemWaiting
+	one.waitsSince = now
 	one.avoid = ""
 	one.progress = nil
 	one.events = append(one.events, result.Events...)
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -129,7 +129,7 @@
 		prompts: map[string]string{}, failures: map[int32]int32{}, writtenAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
-	owned.prepare()
+	owned.prepare(now)
 	owned.adopt(owned.head)
 	if former {
 		owned.readTexts(now)
