--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -112,6 +112,12 @@
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
+	step.Number++
+	go func() {
+		ctx, cancel := context.WithTimeout(a.base, publishWait)
+		defer cancel()
+		a.steps.RunAhead(ctx, step)
+	}()
 }
 
 // publishVersion names a newer version of the experiment's policy.
--- a/internal/version/experiment/steps.go
+++ b/internal/version/experiment/steps.go
@@ -130,22 +130,56 @@
 	if draw == nil || !held.Sealed && !s.current(e, draw) {
 		return s.draw(ctx, e, held)
 	}
+	job, reply, ok := s.handIn(ctx, step, draw)
+	if job == nil {
+		return reply, ok
+	}
+	results := s.Jobs.Whole(ctx, job.Id)
+	if results == nil {
+		return Reply{}, false
+	}
+	return s.deliver(ctx, e, held, job, results)
+}
+
+// handIn hands the batch job of a draw in. Without a job, the reply says why, if ok is set.
+func (s *Steps) handIn(ctx context.Context, step Step, draw *doorstepv1.Draw) (job *doorstepv1.BatchJob, reply Reply, ok bool) {
 	prompts, err := ReadPrompts(ctx, s.Store, draw.Prompts)
 	if err != nil {
-		return Reply{}, false
+		return nil, Reply{}, false
 	}
 	if len(prompts) == 0 {
-		return Reply{Status: NotReady, Reason: fmt.Sprintf("prompt set %q is empty or missing", draw.Prompts)}, true
+		return nil, Reply{Status: NotReady, Reason: fmt.Sprintf("prompt set %q is empty or missing", draw.Prompts)}, true
 	}
-	job := Job(step, draw, prompts, s.Describe)
+	job = Job(step, draw, prompts, s.Describe)
 	if !s.Jobs.Accept(ctx, job) {
-		return Reply{}, false
+		return nil, Reply{}, false
 	}
-	results := s.Jobs.Whole(ctx, job.Id)
-	if results == nil {
-		return Reply{}, false
+	return job, Reply{}, true
+}
+
+// runAheadWeight is the idle_weight from which a step is drawn while its trainer trains on
+// the one before.
+const runAheadWeight = 50
+
+// RunAhead draws a trainer's next step before it is pulled, if the experiment weighs the
+// trainer's idle time more than staleness and its bound leaves room for a version that the
+// trainer names meanwhile.
+func (s *Steps) RunAhead(ctx context.Context, step Step) {
+	e, _ := s.experiment(step)
+	if e == nil || e.IdleWeight < runAheadWeight || e.StalenessBound < 1 {
+		return
 	}
-	return s.deliver(ctx, e, held, job, results)
+	held, ok := s.read(ctx, step)
+	if !ok || step.Number != held.Acknowledged+1 || held.Sealed {
+		return
+	}
+	if held.Draw == nil {
+		s.draw(ctx, e, held)
+		if held, ok = s.read(ctx, step); !ok || held.Draw == nil || step.Number != held.Acknowledged+1 {
+			return
+		}
+	}
+	s.handIn(ctx, step, held.Draw)
 }
 
 // draw fixes a new draw of a step.
--- a/internal/version/experiment/steps_test.go
+++ b/internal/version/experiment/steps_test.go
@@ -254,6 +254,38 @@
 	}
 }
 
+func TestRunAhead(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		weight         uint32
+		staleness, ack int64
+		drawn          bool
+	}{
+		{"idle time weighs more", 50, 1, 1, true},
+		{"staleness weighs more", 49, 1, 1, false},
+		{"no room for a version", 100, 0, 1, false},
+		{"the step before is not acknowledged", 100, 1, 0, false},
+	} {
+		b := newBench(t)
+		b.held.Experiments[0].IdleWeight = c.weight
+		b.held.Experiments[0].StalenessBound = c.staleness
+		b.pull(1)
+		if c.ack > 0 {
+			b.acknowledge(c.ack)
+		}
+		next := Step{"e", "a", 2}
+		b.RunAhead(context.Background(), next)
+		if drawn := b.jobs.accepted[next.JobID(0)] != nil; drawn != c.drawn {
+			t.Errorf("%s: drawn %t, should be %t", c.name, drawn, c.drawn)
+		}
+		if c.drawn {
+			if reply := b.pull(2); reply.Status != Done || b.jobs.accepted[next.JobID(1)] != nil {
+				t.Errorf("%s: the pull takes what was drawn: %+v", c.name, reply)
+			}
+		}
+	}
+}
+
 func TestVersionsOnlyRise(t *testing.T) {
 	b := newBench(t)
 	b.held.Experiments[0].MaxVersion = 6
