Loads go to the neediest model first; a refusing replica gets no item of that model for a while

All of one model's replicas loaded first, so the other's first item ran after 3.6 s. And only the lease's holder knows which replicas load: owners sent 500 items of one job to replicas that answered 503, each 60 ms later again elsewhere.

--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -159,6 +159,19 @@
 	return true
 }
 
+// refusedFor is how long an endpoint that turned an item away gets no other of its model:
+// it is full, or loads a version, which takes about a second.
+const refusedFor = 350 * time.Millisecond
+
+// Refused notes that the endpoint turned an item of a model away. Only the node that
+// orders versions knows which endpoints load.
+func (e *Endpoint) Refused(now time.Time, model string) {
+	e.Busy(now)
+	if until := now.Add(refusedFor); until.After(e.loading[model]) {
+		e.SetLoading(model, until)
+	}
+}
+
 // Busy notes that the endpoint turned a request away for load.
 func (e *Endpoint) Busy(now time.Time) {
 	e.told = max(e.told, e.Slots)
--- a/internal/process/endpoint/endpoint_test.go
+++ b/internal/process/endpoint/endpoint_test.go
@@ -123,3 +123,17 @@
 		t.Errorf("%+v", gone)
 	}
 }
+
+func TestRefusedEndpointGetsNoItemOfTheModel(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := &Endpoint{ReplicaRecord: port.ReplicaRecord{ID: "r", Slots: 8}}
+	e.Refused(now, "m")
+	if !e.Loading(now.Add(refusedFor/2), "m") || e.Loading(now.Add(refusedFor/2), "n") || e.Loading(now.Add(refusedFor), "m") {
+		t.Error("an endpoint that refused gets no item of that model for a while, and of others as before")
+	}
+	e.SetLoading("m", now.Add(time.Minute))
+	e.Refused(now, "m")
+	if !e.Loading(now.Add(time.Second), "m") {
+		t.Error("a refusal does not shorten a load that is known")
+	}
+}
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -196,7 +196,7 @@
 			return o.onProgress(now, index, run, events, pace)
 		},
 		Done: func(now time.Time, result task.RunResult) {
-			o.jobs.account(now, chosen.ID, result, now.Sub(sentAt))
+			o.jobs.account(now, chosen.ID, o.job.Model, result, now.Sub(sentAt))
 			chosen.InFlight--
 			o.openRuns--
 			o.onRun(now, index, run, result)
@@ -261,7 +261,7 @@
 }
 
 // account tells the endpoint how its run fared.
-func (j *Jobs) account(now time.Time, id string, result task.RunResult, took time.Duration) {
+func (j *Jobs) account(now time.Time, id, model string, result task.RunResult, took time.Duration) {
 	chosen := j.options.Find(id)
 	if chosen == nil {
 		return
@@ -270,7 +270,7 @@
 	case task.RunCompleted:
 		chosen.Succeeded(result.FirstEvent)
 	case task.RunRefused:
-		chosen.Busy(now)
+		chosen.Refused(now, model)
 	case task.RunUnreachable:
 		if chosen.Silent(now) {
 			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -4,7 +4,6 @@
 package rollout
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +26,9 @@
 	// repeated, loadFor how long a load may take.
 	doubtFor = 1200 * time.Millisecond
 	loadFor  = 6 * time.Second
+	// lookAtOne is the least pause between two looks at all replicas, for each of them, so
+	// that looking costs the same processor time whatever their number.
+	lookAtOne = 35 * time.Microsecond
 	// failPause is the wait after a replica refused or gave no report.
 	failPause = 400 * time.Millisecond
 )
@@ -64,6 +66,8 @@
 	replicas map[string]*replicaState
 	groups   groups
 	limits   map[string]*loadLimit
+	// nextAt is when the replicas are looked at next.
+	nextAt time.Time
 }
 
 // New returns a machine that knows no version.
@@ -97,7 +101,11 @@
 		clear(r.replicas)
 		return
 	}
+	if now.Before(r.nextAt) {
+		return
+	}
 	endpoints := r.options.Endpoints()
+	r.nextAt = now.Add(time.Duration(len(endpoints)) * lookAtOne)
 	r.forget(endpoints)
 	demand := r.options.Demand(now)
 	services := byService(endpoints)
@@ -206,39 +214,38 @@
 // second version only: those that are two behind must move; of the others so many move
 // that half have the newest.
 func (r *Rollout) wanted(members []*endpoint.Endpoint) []wanted {
-	var list []wanted
+	var queues []*loadQueue
 	for _, model := range slices.Sorted(maps.Keys(r.targets)) {
 		group := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return !r.groups.follows(e, model) })
-		list = append(list, r.wantedOf(model, group)...)
+		if len(group) > 0 {
+			queues = append(queues, r.queueOf(model, group))
+		}
 	}
-	slices.SortFunc(list, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(b.behind, a.behind), cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight),
-			cmp.Compare(a.endpoint.ID, b.endpoint.ID), cmp.Compare(a.model, b.model))
-	})
-	return list
+	return merge(queues)
 }
 
-// wantedOf lists the loads of one model's group.
-func (r *Rollout) wantedOf(model string, group []*endpoint.Endpoint) []wanted {
+// queueOf lists the loads of one model's group.
+func (r *Rollout) queueOf(model string, group []*endpoint.Endpoint) *loadQueue {
 	target := r.targets[model]
-	var must, may []wanted
+	q := &loadQueue{group: len(group)}
 	newest := 0
 	for _, e := range group {
 		load := wanted{endpoint: e, model: model, version: target, behind: target - e.Versions[model]}
 		switch {
 		case load.behind <= 0 || r.underWay(load):
 			newest++
+			q.usable++
 		case load.behind == 1:
-			may = append(may, load)
+			q.usable++
+			q.may = append(q.may, load)
 		default:
-			must = append(must, load)
+			q.must = append(q.must, load)
 		}
 	}
-	slices.SortFunc(may, func(a, b wanted) int {
-		return cmp.Or(cmp.Compare(a.endpoint.InFlight, b.endpoint.InFlight), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
-	})
-	more := min(max(len(group)/2-newest-len(must), 0), len(may))
-	return append(must, may[:more]...)
+	q.sort()
+	more := min(max(len(group)/2-newest-len(q.must), 0), len(q.may))
+	q.may = q.may[:more]
+	return q
 }
 
 // underWay reports whether a load is ordered already.
