A node that returns as the order lease's holder orders at once

Ruled out: jobs (taken at once), the store (back 2 s before).

Change: two lives of one node are one holder. What the node owed to another before stands in the record by the store's clock, so that a restart does not forget it.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -118,7 +118,7 @@
 	n.lease = recordlease.New(recordlease.Options{
 		Key:    port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: "version-orders"},
 		Holder: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Pause: options.OrderPause,
-		Jitter: n.random.Float64(), Observed: n.observed,
+		Jitter: n.random.Float64(), Observed: n.observed, Clock: n.clock.bounds,
 	})
 	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand})
 	n.operators = configuration.Empty()
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -41,6 +41,9 @@
 	Pause time.Duration
 	// Jitter, from 0 to 1, spreads the challengers.
 	Jitter float64
+	// Clock returns the least and the most that the store's steady clock may show; known
+	// is false before its first answer.
+	Clock func(now time.Time) (least, most time.Duration, known bool)
 	// Observed returns the time up to which a change of the record would have been heard
 	// of, zero before the record was read.
 	Observed func(now time.Time) time.Time
@@ -179,22 +182,21 @@
 
 func (l *Lease) acquire(now time.Time) {
 	former := l.row
-	pauseFrom := l.changedAt
-	if former.Holder != "" {
-		// The former holder may act for as long as its last renewal counts.
-		pauseFrom = pauseFrom.Add(Validity)
+	next := &doorstepv1.OrderLease{
+		Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1,
+		Ordering: former.Ordering, ActsFromMs: former.ActsFromMs,
 	}
-	// A node's own former acts are no other holder's; a pause that it still owes to the
-	// holder before it goes on. It is owed from the try on: if its answer is lost, the
-	// record names this node and tells of its predecessor no more.
 	if former.Ordering && !l.own() {
-		l.actAfter = pauseFrom.Add(l.options.Pause + pauseMargin)
-		// The record goes on saying so until the pause is over.
+		// The pause is owed from the try on: if its answer is lost, the record names this
+		// node and tells of its predecessor no more.
+		l.actAfter = now.Add(l.owed(now))
+		next.ActsFromMs = l.clockAt(now, l.actAfter)
+		// The record goes on saying so until the pause is over, and for as long as a
+		// former life of this node may have acted.
 		l.lastAct = l.actAfter.Add(-l.options.Pause)
-	}
-	next := &doorstepv1.OrderLease{
-		Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1,
-		Ordering: former.Ordering,
+		if former.Holder == l.options.Holder {
+			l.lastAct = now
+		}
 	}
 	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
 		if result.Status != port.RecordDone {
@@ -210,6 +212,28 @@
 	})
 }
 
+// owed returns how long this node must not act, as another may have acted of late. Orders
+// of one node's two lives are one holder's: back ends tell nodes apart, not processes. So
+// it goes on at once after a restart, but for what its former life still owed.
+func (l *Lease) owed(now time.Time) time.Duration {
+	if least, _, known := l.options.Clock(now); known && l.row.Holder == l.options.Holder {
+		return max(time.Duration(l.row.ActsFromMs)*time.Millisecond-least, 0)
+	}
+	pauseFrom := l.changedAt
+	if l.row.Holder != "" {
+		// The former holder may act for as long as its last renewal counts.
+		pauseFrom = pauseFrom.Add(Validity)
+	}
+	return max(pauseFrom.Add(l.options.Pause+pauseMargin).Sub(now), 0)
+}
+
+// clockAt returns the most that the store's clock may show at a time to come, in
+// milliseconds.
+func (l *Lease) clockAt(now, at time.Time) int64 {
+	_, most, _ := l.options.Clock(now)
+	return (most + at.Sub(now)).Milliseconds() + 1
+}
+
 func (l *Lease) renew(now time.Time) {
 	next := proto.Clone(l.row).(*doorstepv1.OrderLease)
 	next.Beat++
--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -31,7 +31,7 @@
 		b.queues = append(b.queues, queue)
 		b.leases = append(b.leases, New(Options{
 			Key: port.RecordKey{Table: "leases", Key: "l"}, Holder: string(rune('a' + i)), Incarnation: 1, Queue: queue, Pause: 3 * time.Second,
-			Observed: func(now time.Time) time.Time { return b.observe(i, now) },
+			Observed: func(now time.Time) time.Time { return b.observe(i, now) }, Clock: b.clock,
 		}))
 	}
 	return b
@@ -81,6 +81,19 @@
 	}
 }
 
+// clock is the store's, known to 20 ms.
+func (b *bench) clock(now time.Time) (least, most time.Duration, known bool) {
+	shown := now.Sub(time.Unix(1000, 0))
+	return shown - 10*time.Millisecond, shown + 10*time.Millisecond, true
+}
+
+// restart gives a node's lease a new life.
+func (b *bench) restart(i int) {
+	options := b.leases[i].options
+	options.Incarnation++
+	b.leases[i] = New(options)
+}
+
 // observe feeds a lease the record as a watch does, unless the lease is cut.
 func (b *bench) observe(i int, now time.Time) time.Time {
 	if b.cut[i] {
@@ -269,3 +282,45 @@
 		t.Errorf("acts of two holders are %s apart", apart)
 	}
 }
+
+// Incident 9eec: after the loss of all machines the holder's node was back at once, and
+// ordered nothing for 4.8 s.
+func TestRestartedHolderGoesOnAtOnce(t *testing.T) {
+	b := newBench(2)
+	b.run(2 * time.Second)
+	first := b.only(t)
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	b.restart(first)
+	if !actsWithin(b, first, 500*time.Millisecond) {
+		t.Error("a node that returns as the holder acts at once: there is no other to keep apart from")
+	}
+}
+
+// A node that took the lease from another owes the pause to it over a restart.
+func TestPauseOutlivesARestart(t *testing.T) {
+	b := newBench(2)
+	b.run(2 * time.Second)
+	first := b.only(t)
+	second := 1 - first
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	acted := b.now
+	b.leases[first].Resign(b.now)
+	b.run(500 * time.Millisecond)
+	if !b.leases[second].Held(b.now) {
+		t.Fatal("the lease is not taken")
+	}
+	b.restart(second)
+	for !b.leases[second].Act(b.now) {
+		b.run(50 * time.Millisecond)
+		if b.now.Sub(acted) > time.Minute {
+			t.Fatal("the next holder never acts")
+		}
+	}
+	if apart := b.now.Sub(acted); apart < 3*time.Second {
+		t.Errorf("acts of two holders are %s apart", apart)
+	}
+}
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -33,7 +33,8 @@
 	b := &bench{now: time.Unix(1000, 0), queue: &task.Queue{}, generators: map[string]*model.Generator{}}
 	b.records = model.NewRecords(b.now, model.RecordsOptions{})
 	b.lease = recordlease.New(recordlease.Options{Key: port.RecordKey{Table: "leases", Key: "l"}, Holder: "a", Incarnation: 1, Queue: b.queue, Pause: time.Second,
-		Observed: func(now time.Time) time.Time { return now }})
+		Observed: func(now time.Time) time.Time { return now },
+		Clock:    func(now time.Time) (least, most time.Duration, known bool) { return 0, 0, true }})
 	b.rollout = New(Options{Self: "a", Queue: b.queue, Lease: b.lease, Endpoints: func() []*endpoint.Endpoint { return b.endpoints },
 		Demand: func(time.Time) map[string]int64 { return b.demand }})
 	for i := range replicas {
