Jobs that are over are collected; paces are told now and then; one reader of single records

Purpose: records of jobs were kept for ever, and every node kept their heads in memory.

Commands and steps read single records by one function.

--- a/internal/port/record.go
+++ b/internal/port/record.go
@@ -94,3 +94,16 @@
 	// as there is one, or none once wait has passed.
 	Watch(ctx context.Context, table string, after int64, wait time.Duration) RecordResult
 }
+
+// ReadRecord reads one record; one that is absent has revision 0. It is false when the
+// store did not answer.
+func ReadRecord(ctx context.Context, store RecordStore, key RecordKey) (Record, bool) {
+	result := store.Range(ctx, RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00", Limit: 1})
+	if result.Status != RecordDone {
+		return Record{}, false
+	}
+	if len(result.Records) == 0 {
+		return Record{RecordKey: key}, true
+	}
+	return result.Records[0], true
+}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -231,6 +231,10 @@
 	n.lease.Tick(now)
 	n.rollout.Tick(now)
 	n.jobs.Tick(now)
+	if n.lease.Held(now) {
+		// One node is enough, and two at once would do no harm.
+		n.jobs.Collect(now)
+	}
 	n.tickStatus(now)
 }
 
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -48,6 +48,7 @@
 	JobCompleted      = 904
 	JobEnded          = 905
 	JobAssigned       = 906
+	JobCollected      = 907
 	ItemRetried       = 910
 	ItemTerminated    = 911
 	TextDiscarded     = 912
@@ -99,6 +100,7 @@
 	{JobCompleted, Info, "batch job completed", "Every item of the job has a position."},
 	{JobEnded, Info, "batch job ended", "The client needs no more results."},
 	{JobAssigned, Info, "batch job assigned", "This node runs the job's items from now on: the node that accepted it gave it to the one that runs the model's other jobs."},
+	{JobCollected, Info, "batch job collected", "The records of a job that is over were deleted from the store; age_s says how long after its acceptance."},
 	{ItemRetried, Info, "item retried", "A run of an item did not complete; outcome, status and events say why and what is kept."},
 	{ItemTerminated, Warn, "item terminated", "An item was given up; reason says why."},
 	{TextDiscarded, Info, "text discarded", "The text of an item was made by a version that its job does not allow, and is made again."},
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -111,6 +111,10 @@
 	observedSince time.Time
 	observing     bool
 	stopping      bool
+	// collecting is set while a job's records are deleted, collectAt is when the next may
+	// be looked for.
+	collecting bool
+	collectAt  time.Time
 }
 
 // New returns a machine that knows of no job.
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -41,7 +41,10 @@
 		next.ListedItems[index/8] |= 1 << (index % 8)
 		next.Listed++
 	}
-	next.Paces = o.paces(now)
+	next.Paces = nil
+	if o.tellsPaces(now) {
+		next.Paces = o.paces(now)
+	}
 	next.Failures = maps.Clone(o.failures)
 	if o.handOver {
 		next.Owner = ""
@@ -68,8 +71,18 @@
 	return list
 }
 
-// pacesAtMost bounds the paces that a head tells.
-const pacesAtMost = 32
+const (
+	// pacesAtMost bounds the paces that a head tells.
+	pacesAtMost = 32
+	// pacesEvery is how often paces are told, pacesFor for how long each time: long enough
+	// for each watch to see one of the writes. They are most of a head, which every node
+	// reads at each of its writes.
+	pacesEvery = 2 * time.Second
+	pacesFor   = 400 * time.Millisecond
+)
+
+// tellsPaces reports whether the head tells paces now.
+func (o *ownedJob) tellsPaces(now time.Time) bool { return now.Sub(o.begunAt)%pacesEvery < pacesFor }
 
 // paces returns what this node found of the replicas that the job's items ran at.
 func (o *ownedJob) paces(now time.Time) []*doorstepv1.ReplicaPace {
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -39,6 +39,7 @@
 	// prompts maps a group to the endpoint that holds its prompt.
 	prompts    map[string]string
 	committing bool
+	begunAt    time.Time
 	writtenAt  time.Time
 	retryAt    time.Time
 	pause      time.Duration
@@ -136,7 +137,7 @@
 	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
-		prompts: map[string]string{}, failures: map[int32]int32{}, writtenAt: now, pause: firstPause,
+		prompts: map[string]string{}, failures: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
 	owned.prepare(now)
--- a/internal/version/configuration/command.go
+++ b/internal/version/configuration/command.go
@@ -11,12 +11,8 @@
 	"github.com/doorstep/doorstep/internal/port"
 )
 
-const (
-	// retryPause is the wait before a call to the store is repeated.
-	retryPause = 100 * time.Millisecond
-	// onlyRecord is the limit of a read of one record.
-	onlyRecord = 1
-)
+// retryPause is the wait before a call to the store is repeated.
+const retryPause = 100 * time.Millisecond
 
 // Commander carries out commands. Its fields are set before Submit.
 type Commander struct {
@@ -145,7 +141,7 @@
 }
 
 func (c *Commander) find(ctx context.Context, key port.RecordKey) (change *doorstepv1.Change, ok bool) {
-	record, ok := c.get(ctx, key)
+	record, ok := port.ReadRecord(ctx, c.Store, key)
 	if !ok || record.Revision == 0 {
 		return nil, ok
 	}
@@ -157,7 +153,7 @@
 }
 
 func (c *Commander) read(ctx context.Context) (snapshot, bool) {
-	record, ok := c.get(ctx, Key())
+	record, ok := port.ReadRecord(ctx, c.Store, Key())
 	if !ok {
 		return snapshot{}, false
 	}
@@ -173,14 +169,3 @@
 	seen, ok := c.read(ctx)
 	return seen.configuration, ok
 }
-
-func (c *Commander) get(ctx context.Context, key port.RecordKey) (port.Record, bool) {
-	result := c.Store.Range(ctx, port.RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00", Limit: onlyRecord})
-	if result.Status != port.RecordDone {
-		return port.Record{}, false
-	}
-	if len(result.Records) == 0 {
-		return port.Record{RecordKey: key}, true
-	}
-	return result.Records[0], true
-}
--- a/internal/version/experiment/steps.go
+++ b/internal/version/experiment/steps.go
@@ -266,7 +266,7 @@
 	}
 	key := s.Targets.TargetKey(e.Policy)
 	for ; ctx.Err() == nil; wait(ctx) {
-		record, ok := s.get(ctx, key)
+		record, ok := port.ReadRecord(ctx, s.Store, key)
 		if !ok {
 			continue
 		}
@@ -290,7 +290,7 @@
 
 // newest returns the newest version that was named for a policy, 1 before the first.
 func (s *Steps) newest(ctx context.Context, policy string) (int64, bool) {
-	record, ok := s.get(ctx, s.Targets.TargetKey(policy))
+	record, ok := port.ReadRecord(ctx, s.Store, s.Targets.TargetKey(policy))
 	if !ok {
 		return 0, false
 	}
@@ -315,7 +315,7 @@
 
 func (s *Steps) read(ctx context.Context, step Step) (progress, bool) {
 	key := ProgressKey(step.Experiment, step.Trainer)
-	record, ok := s.get(ctx, key)
+	record, ok := port.ReadRecord(ctx, s.Store, key)
 	if !ok {
 		return progress{}, false
 	}
@@ -334,14 +334,3 @@
 	})
 	return result.Status == port.RecordDone
 }
-
-func (s *Steps) get(ctx context.Context, key port.RecordKey) (port.Record, bool) {
-	result := s.Store.Range(ctx, port.RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00", Limit: 1})
-	if result.Status != port.RecordDone {
-		return port.Record{}, false
-	}
-	if len(result.Records) == 0 {
-		return port.Record{RecordKey: key}, true
-	}
-	return result.Records[0], true
-}
