--- a/internal/soak/drain.go
+++ b/internal/soak/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -50,3 +51,20 @@
 		s.check.Violate("replica %s got %d requests later than %s after it said that it leaves", r.ID, late, drainWithin+drainSlack)
 	}
 }
+
+// drainEach drains a replica of each service once nothing has disturbed the nodes for a
+// while: between faults the calm is too short to hold a drain against its bound.
+func (s *Soak) drainEach() {
+	time.Sleep(max(inTouch+time.Second-s.calmFor(), 0))
+	s.mu.Lock()
+	leaving := map[string]*replica{}
+	for _, r := range s.replicas {
+		leaving[r.Service] = r
+	}
+	s.mu.Unlock()
+	var drains sync.WaitGroup
+	for _, r := range leaving {
+		drains.Go(func() { s.replace(r, true) })
+	}
+	drains.Wait()
+}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -25,6 +25,8 @@
 	// endOneIn is the part of the jobs, one in so many, that are ended before they are
 	// whole.
 	endOneIn = 5
+	// newestOneIn is the part of the jobs, one in so many, that want the newest version.
+	newestOneIn = 3
 	// appliedWithin is how soon a configuration is in force at nodes in touch, of which
 	// inTouch of calm are asked.
 	appliedWithin = 2 * time.Second
@@ -102,7 +104,7 @@
 	defer reading.Wait()
 	for i := 0; ctx.Err() == nil; i++ {
 		job := platformtest.Job{
-			ID: fmt.Sprintf("job.%d.%d", number, i), Items: jobItems, GroupSize: groupItems, MinVersion: max(1, s.version.Load()-1),
+			ID: fmt.Sprintf("job.%d.%d", number, i), Items: jobItems, GroupSize: groupItems, MinVersion: s.leastVersion(random),
 		}
 		early := random.IntN(endOneIn) == 0
 		if s.handIn(ctx, random, job) {
@@ -113,6 +115,16 @@
 	}
 }
 
+// leastVersion draws the least version that may make a job: the one before the newest, as
+// usual, or the newest, which only half of the replicas get.
+func (s *Soak) leastVersion(random *rand.Rand) int64 {
+	newest := s.version.Load()
+	if random.IntN(newestOneIn) == 0 {
+		return newest
+	}
+	return max(1, newest-1)
+}
+
 // handIn sends a job until it is taken; each try goes to another node.
 func (s *Soak) handIn(ctx context.Context, random *rand.Rand, job platformtest.Job) bool {
 	body := platformtest.EncodeJob(job)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -105,6 +105,7 @@
 	faults := s.disturb(ctx)
 	s.heal()
 	s.settle(ctx)
+	s.drainEach()
 	cancel()
 	load.Wait()
 	s.stopAll()
--- /dev/null
+++ b/internal/version/configuration/linear_test.go
@@ -0,0 +1,108 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/standin/model"
+)
+
+const (
+	operatorsAtOnce  = 4
+	commandsEach     = 12
+	historyCheckTime = 20 * time.Second
+)
+
+// drainCall is one command of an operator's history.
+type drainCall struct {
+	// undrain takes the drain back, read only looks.
+	undrain, read bool
+}
+
+// drainModel is a drain that is set or not: what the configuration must look like to its
+// operators, whichever answers of the store are lost.
+var drainModel = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		drained, call, reply := state.(bool), input.(drainCall), output.(string)
+		if call.read {
+			return reply == fmt.Sprint(drained), drained
+		}
+		switch port.CommandStatus(reply) {
+		case port.Accepted:
+			return drained == call.undrain, !call.undrain
+		case port.Refused:
+			return drained != call.undrain, drained
+		}
+		return false, drained
+	},
+}
+
+// TestCommandsAreLinearizable lets operators race over one drain while the store loses
+// answers, and demands an order of all commands that explains every reply.
+func TestCommandsAreLinearizable(t *testing.T) {
+	for seed := range uint64(8) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var mu sync.Mutex
+		draw := func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.IntN(n)
+		}
+		store := &faultyStore{Records: model.NewRecords(time.Now(), model.RecordsOptions{}), commit: func(int) (port.RecordStatus, bool, bool) {
+			switch draw(4) {
+			case 0:
+				return port.RecordUnknown, true, true
+			case 1:
+				return port.RecordUnknown, false, true
+			}
+			return port.RecordDone, true, false
+		}}
+		var history []porcupine.Operation
+		var group sync.WaitGroup
+		startedAt := time.Now()
+		for operator := range operatorsAtOnce {
+			group.Go(func() {
+				c := &Commander{Store: store, Now: time.Now}
+				for n := range commandsEach {
+					call := drainCall{undrain: draw(2) == 0, read: draw(3) == 0}
+					one := porcupine.Operation{ClientId: operator, Input: call, Call: time.Since(startedAt).Nanoseconds()}
+					one.Output = carryOut(c, call, fmt.Sprintf("%d-%d", operator, n))
+					one.Return = time.Since(startedAt).Nanoseconds()
+					mu.Lock()
+					history = append(history, one)
+					mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+		if porcupine.CheckOperationsTimeout(drainModel, history, historyCheckTime) != porcupine.Ok {
+			t.Errorf("seed %d: no order of the commands explains %+v", seed, history)
+		}
+	}
+}
+
+func carryOut(c *Commander, call drainCall, token string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if call.read {
+		held, _ := c.Read(ctx)
+		return fmt.Sprint(Drained(held, doorstepv1.DrainKind_DRAIN_KIND_ZONE, "z"))
+	}
+	kind := port.DrainTarget
+	if call.undrain {
+		kind = port.UndrainTarget
+	}
+	reply := c.Submit(ctx, port.OperatorCall{Token: token, Command: &port.Command{
+		Kind: kind, Drain: &doorstepv1.Drain{Kind: doorstepv1.DrainKind_DRAIN_KIND_ZONE, Name: "z"},
+	}})
+	return string(reply.Status)
+}
--- a/internal/version/experiment/steps_test.go
+++ b/internal/version/experiment/steps_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -128,35 +129,41 @@
 }
 
 func TestStepsOfATrainer(t *testing.T) {
-	b := newBench(t)
-	first := b.pull(1)
-	if first.Status != Done || len(first.Samples) != 6 || first.Samples[2].Slot != 2 || first.Samples[2].Text == "" {
-		t.Fatalf("%+v", first)
-	}
-	if again := b.pull(1); !reflect.DeepEqual(again, first) {
-		t.Errorf("another pull gives other samples: %+v", again)
-	}
-	for _, c := range []struct {
-		name string
-		call func() Reply
-		want Status
-	}{
-		{"the next step before the acknowledgement", func() Reply { return b.pull(2) }, Refused},
-		{"acknowledging a step that was not delivered", func() Reply { return b.acknowledge(2) }, Refused},
-		{"acknowledging", func() Reply { return b.acknowledge(1) }, Done},
-		{"acknowledging again", func() Reply { return b.acknowledge(1) }, Done},
-		{"an acknowledged step", func() Reply { return b.pull(1) }, Refused},
-		{"the next step", func() Reply { return b.pull(2) }, Done},
-		{"a foreign trainer", func() Reply { return b.Pull(context.Background(), Step{"e", "x", 1}) }, Unknown},
-		{"no experiment", func() Reply { return b.Pull(context.Background(), Step{"x", "a", 1}) }, Unknown},
-	} {
-		if got := c.call(); got.Status != c.want {
-			t.Errorf("%s: %+v, should be %s", c.name, got, c.want)
-		}
-	}
-	if !b.jobs.ended[Step{"e", "a", 1}.JobID(0)] {
-		t.Error("an acknowledged step's job is ended")
-	}
+	convey.Convey("A trainer that pulls its first step", t, func() {
+		b := newBench(t)
+		first := b.pull(1)
+		convey.Convey("gets all samples in the order of their slots", func() {
+			convey.So(first.Status, convey.ShouldEqual, Done)
+			convey.So(first.Samples, convey.ShouldHaveLength, 6)
+			for slot, sample := range first.Samples {
+				convey.So(sample.Slot, convey.ShouldEqual, slot)
+				convey.So(sample.Text, convey.ShouldNotBeEmpty)
+			}
+		})
+		convey.Convey("gets the same at another pull", func() {
+			convey.So(b.pull(1), convey.ShouldResemble, first)
+		})
+		convey.Convey("does not get the next before it has acknowledged this one", func() {
+			convey.So(b.pull(2).Status, convey.ShouldEqual, Refused)
+		})
+		convey.Convey("can't acknowledge a step that was not delivered", func() {
+			convey.So(b.acknowledge(2).Status, convey.ShouldEqual, Refused)
+		})
+		convey.Convey("acknowledges it, as often as it likes", func() {
+			convey.So(b.acknowledge(1).Status, convey.ShouldEqual, Done)
+			convey.So(b.acknowledge(1).Status, convey.ShouldEqual, Done)
+			convey.So(b.jobs.ended, convey.ShouldContainKey, Step{"e", "a", 1}.JobID(0))
+			convey.Convey("and then gets the next, and this one no more", func() {
+				convey.So(b.pull(1).Status, convey.ShouldEqual, Refused)
+				convey.So(b.pull(2).Status, convey.ShouldEqual, Done)
+			})
+		})
+	})
+	convey.Convey("A stranger gets nothing", t, func() {
+		b := newBench(t)
+		convey.So(b.Pull(context.Background(), Step{"e", "x", 1}).Status, convey.ShouldEqual, Unknown)
+		convey.So(b.Pull(context.Background(), Step{"x", "a", 1}).Status, convey.ShouldEqual, Unknown)
+	})
 }
 
 func TestRacingPullsGetTheSameSamples(t *testing.T) {
