--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -27,7 +27,7 @@
 }
 
 go build -o "$scratch/clean" ./cmd/doorstep-sim
-prove 1-positions positions-fixed 90..200 all
+prove 1-positions positions-fixed 1..250 store-loses,store-partly,store-slow
 prove 2-versions versions-true 1..20 all
 prove 3-texts results-true 1..200 all
 prove 4-refusals refusals-true 1..20 store-loses,store-refusing,store-silent
