The soak starts a node once, however many faults end at the same time

Cause: left a process of a node running after the soak: a kill and a planned stop of one node ended together, both started it, and the first process was forgotten. Starting is under a lock now and does nothing while the program runs.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -218,9 +218,6 @@
 
 // restart starts a node that does not run.
 func (s *Soak) restart(n *node) {
-	if n.process.Running() {
-		return
-	}
 	if err := n.start(); err != nil {
 		s.check.Violate("%s can't be started: %s", n.name, err)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,6 +72,9 @@
 	// toStore is its link to the store, toClients that of its clients.
 	toStore, toClients *Proxy
 	address            string
+	// starting is held while it is started: two faults that end at once must not start it
+	// twice, as the first process would be forgotten and left behind.
+	starting sync.Mutex
 	// lives counts its starts; planned is set during a planned stop.
 	lives   atomic.Int32
 	planned atomic.Bool
@@ -234,7 +237,13 @@
 	return n.start()
 }
 
+// start starts the node unless it runs.
 func (n *node) start() error {
+	n.starting.Lock()
+	defer n.starting.Unlock()
+	if n.process.ended != nil && n.process.Running() {
+		return nil
+	}
 	n.lives.Add(1)
 	n.planned.Store(false)
 	return n.process.Start()
@@ -276,9 +285,7 @@
 			link.SetMode(LinkOpen)
 			link.SetDelay(0)
 		}
-		if !n.process.Running() {
-			_ = n.start()
-		}
+		_ = n.start()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
