--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -130,6 +130,21 @@
 	return held[0]
 }
 
+// actsApart waits until a lease may act, and holds the time since another's last act
+// against the pause that is asked between two holders.
+func (b *bench) actsApart(t *testing.T, i int, acted time.Time) {
+	t.Helper()
+	for !b.leases[i].Act(b.now) {
+		b.run(50 * time.Millisecond)
+		if b.now.Sub(acted) > time.Minute {
+			t.Fatal("the next holder never acts")
+		}
+	}
+	if apart := b.now.Sub(acted); apart < 3*time.Second {
+		t.Errorf("acts of two holders are %s apart", apart)
+	}
+}
+
 func TestOneHolder(t *testing.T) {
 	b := newBench(3)
 	b.run(2 * time.Second)
@@ -218,12 +233,7 @@
 	b.cut[second] = true
 	b.run(Validity + 100*time.Millisecond)
 	b.cut[second] = false
-	for !b.leases[second].Act(b.now) {
-		b.run(50 * time.Millisecond)
-	}
-	if apart := b.now.Sub(acted); apart < 3*time.Second {
-		t.Errorf("acts of two holders are %s apart", apart)
-	}
+	b.actsApart(t, second, acted)
 }
 
 func TestResignedLeasePassesQuickly(t *testing.T) {
@@ -272,15 +282,7 @@
 	b.leases[first].Resign(b.now)
 	b.run(300 * time.Millisecond)
 	b.lost[second] = false
-	for !b.leases[second].Act(b.now) {
-		b.run(50 * time.Millisecond)
-		if b.now.Sub(acted) > time.Minute {
-			t.Fatal("the next holder never acts")
-		}
-	}
-	if apart := b.now.Sub(acted); apart < 3*time.Second {
-		t.Errorf("acts of two holders are %s apart", apart)
-	}
+	b.actsApart(t, second, acted)
 }
 
 // Incident 9eec: after the loss of all machines the holder's node was back at once, and
@@ -314,13 +316,5 @@
 		t.Fatal("the lease is not taken")
 	}
 	b.restart(second)
-	for !b.leases[second].Act(b.now) {
-		b.run(50 * time.Millisecond)
-		if b.now.Sub(acted) > time.Minute {
-			t.Fatal("the next holder never acts")
-		}
-	}
-	if apart := b.now.Sub(acted); apart < 3*time.Second {
-		t.Errorf("acts of two holders are %s apart", apart)
-	}
+	b.actsApart(t, second, acted)
 }
