Scoring calls: an item's whole text is scored by the service that its job names

An item has one more state, to be scored. Its attempts are decided over by package relay as those of callers are; a whole text is kept, so that a new owner only calls; failures that a replica answers itself are on record before the next call; room is left for callers.

Ruled out: calling inside the run (the text would be lost with its owner).

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -54,7 +54,7 @@
 	Resume(header http.Header, lastEvent string)
 	LastEvent(header http.Header) string
 	Urge(header http.Header)
-	Stamped(header http.Header) bool
+	Signature(header http.Header) string
 	NotExecuted(status int, header http.Header) bool
 	Load(header http.Header) (running, waiting, slots int, ok bool)
 	Version(header http.Header) int64
@@ -89,7 +89,8 @@
 
 	mu   sync.Mutex
 	node *cluster.Node
-	// runs cancels the runs of items under way, waiters are woken by changes of jobs.
+	// runs cancels the runs and scoring calls of items under way, waiters are woken by
+	// changes of jobs.
 	runs    map[uint64]context.CancelFunc
 	waiters map[string]chan struct{}
 }
@@ -230,6 +231,10 @@
 		running, cancel := context.WithCancel(a.base)
 		a.runs[t.ID] = cancel
 		go a.run(running, t)
+	case task.ScoringCall:
+		calling, cancel := context.WithTimeout(a.base, t.Limit)
+		a.runs[t.ID] = cancel
+		go a.callScoring(calling, t)
 	case task.StopRun:
 		if cancel := a.runs[t.ID]; cancel != nil {
 			cancel()
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -161,27 +161,26 @@
 }
 
 // account tells the endpoint how the attempt fared. An attempt that was cancelled says
-// nothing of the replica.
+// nothing of the replica, unless it was answered.
 func (x *exchange) account(now time.Time, ended *attempt, took time.Duration, cancelled bool) {
-	switch ended.outcome {
-	case relay.Answered:
-		ended.endpoint.Succeeded(took)
-	case relay.Errored, relay.Broken:
-		if !cancelled && ended.endpoint.Failed(now) {
-			x.agent.log.add(event.ReplicaEjected, "replica", ended.endpoint.ID, "after_ms", took.Milliseconds())
-		}
-	case relay.NotRun:
-		if ended.err == nil {
-			ended.endpoint.Busy(now)
-		} else if !cancelled {
-			ended.endpoint.Failed(now)
-		}
+	if cancelled && ended.outcome != relay.Answered {
+		return
+	}
+	if ended.endpoint.Attempted(now, ended.outcome, ended.err == nil, took) {
+		x.agent.log.add(event.ReplicaEjected, "replica", ended.endpoint.ID, "after_ms", took.Milliseconds())
 	}
 }
 
 func (x *exchange) send(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
-	ended := &attempt{endpoint: chosen}
-	answer, err := x.agent.upstream.Do(ctx, x.call(chosen, left))
+	ended := x.agent.exchangeWhole(ctx, x.call(chosen, left))
+	ended.endpoint = chosen
+	return ended
+}
+
+// exchangeWhole makes a call and reads its answer to the end.
+func (a *Agent) exchangeWhole(ctx context.Context, call *upstream.Call) *attempt {
+	ended := &attempt{}
+	answer, err := a.upstream.Do(ctx, call)
 	if err != nil {
 		ended.err = err
 		ended.outcome = failedOutcome(err)
@@ -190,7 +189,7 @@
 	defer answer.Close()
 	ended.status, ended.header = answer.Status, answer.Header
 	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, answerBytes))
-	ended.outcome = x.outcome(ended)
+	ended.outcome = a.outcome(ended)
 	return ended
 }
 
@@ -234,13 +233,13 @@
 }
 
 // outcome judges an answer. A success that no replica signed is none.
-func (x *exchange) outcome(ended *attempt) relay.Outcome {
+func (a *Agent) outcome(ended *attempt) relay.Outcome {
 	switch {
-	case x.agent.protocol.NotExecuted(ended.status, ended.header):
+	case a.protocol.NotExecuted(ended.status, ended.header):
 		return relay.NotRun
 	case ended.err != nil:
 		return relay.Broken
-	case ended.status < http.StatusMultipleChoices && !x.agent.protocol.Stamped(ended.header):
+	case ended.status < http.StatusMultipleChoices && a.protocol.Signature(ended.header) == "":
 		return relay.Broken
 	case ended.status >= http.StatusInternalServerError:
 		return relay.Errored
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -31,6 +31,7 @@
 	attempts   *prometheus.CounterVec
 	runs       *prometheus.HistogramVec
 	waits      prometheus.Histogram
+	scoring    *prometheus.HistogramVec
 	jobs       *prometheus.CounterVec
 	storeCalls *prometheus.HistogramVec
 }
@@ -48,12 +49,14 @@
 			Help: "Time that a run of an item of a batch job took, by outcome.", Buckets: runBuckets}, []string{"outcome"}),
 		waits: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "doorstep_item_queue_seconds",
 			Help: "Time that an item of a batch job waited at its owner for a replica.", Buckets: runBuckets}),
+		scoring: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_scoring_call_seconds",
+			Help: "Time that an attempt of an item's scoring call took, by outcome.", Buckets: latencyBuckets}, []string{"outcome"}),
 		jobs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_batch_jobs_total",
 			Help: "Batch jobs handed in, by outcome."}, []string{"outcome"}),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_store_call_seconds",
 			Help: "Calls to the record store, by kind and outcome.", Buckets: latencyBuckets}, []string{"call", "outcome"}),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.waits, m.jobs, m.storeCalls)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.waits, m.scoring, m.jobs, m.storeCalls)
 	m.registerGauges(a)
 	return m
 }
@@ -91,22 +94,14 @@
 		}
 		return 0
 	})
-	gauge("doorstep_batch_jobs_open", "Jobs known that are neither ended nor complete.", func() float64 {
-		open, _, _, _ := a.node.Jobs().Counts()
-		return float64(open)
-	})
-	gauge("doorstep_batch_jobs_owned", "Jobs whose items this node runs.", func() float64 {
-		_, owned, _, _ := a.node.Jobs().Counts()
-		return float64(owned)
-	})
-	gauge("doorstep_batch_items_running", "Items under way.", func() float64 {
-		_, _, running, _ := a.node.Jobs().Counts()
-		return float64(running)
-	})
-	gauge("doorstep_batch_items_waiting", "Items that wait for a replica.", func() float64 {
-		_, _, _, waiting := a.node.Jobs().Counts()
-		return float64(waiting)
-	})
+	counts := func(name, help string, value func(counts batch.Counts) int) {
+		gauge(name, help, func() float64 { return float64(value(a.node.Jobs().Counts())) })
+	}
+	counts("doorstep_batch_jobs_open", "Jobs known that are neither ended nor complete.", func(c batch.Counts) int { return c.Open })
+	counts("doorstep_batch_jobs_owned", "Jobs whose items this node runs.", func(c batch.Counts) int { return c.Owned })
+	counts("doorstep_batch_items_running", "Items under way.", func(c batch.Counts) int { return c.Running })
+	counts("doorstep_batch_items_waiting", "Items that wait for a replica.", func(c batch.Counts) int { return c.Waiting })
+	counts("doorstep_batch_items_scoring", "Items whose whole text waits for its score.", func(c batch.Counts) int { return c.Scoring })
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "doorstep_log_lines_dropped_total",
 		Help: "Log lines left out, as the ring was full or the budget spent."}, func() float64 { return float64(a.log.leftOut.Load()) }))
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "doorstep_replica_connections_total",
@@ -131,9 +126,14 @@
 	reasonStoreRefuses, relay.ReasonDeadline, relay.ReasonNoAttempt,
 }
 
+var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken"}
+
 func (m *metrics) attempt(outcome relay.Outcome) {
-	names := map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken"}
-	m.attempts.WithLabelValues(names[outcome]).Inc()
+	m.attempts.WithLabelValues(attemptOutcomes[outcome]).Inc()
+}
+
+func (m *metrics) scoringCall(outcome relay.Outcome, took time.Duration) {
+	m.scoring.WithLabelValues(attemptOutcomes[outcome]).Observe(took.Seconds())
 }
 
 func (m *metrics) run(outcome task.RunOutcome, waited, took time.Duration) {
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -109,7 +109,7 @@
 func (s *relayedStream) passWhole(chosen *endpoint.Endpoint, answer *upstream.Answer) (relay.Outcome, error) {
 	ended := &attempt{endpoint: chosen, status: answer.Status, header: answer.Header}
 	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, answerBytes))
-	ended.outcome = s.outcome(ended)
+	ended.outcome = s.agent.outcome(ended)
 	if ended.outcome == relay.NotRun || ended.outcome == relay.Broken || s.begun {
 		return ended.outcome, ended.err
 	}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -29,6 +29,9 @@
 	// rolloutRoom is how many items of batch jobs a replica may hold, as a multiple
 	// of its slots.
 	rolloutRoom = 1.5
+	// scoringRoom is how many requests a replica may hold to get a scoring call, as a
+	// multiple of its slots: the rest is left to callers.
+	scoringRoom = 0.7
 	// unreadyAfter is how long the store may be silent before a node calls itself not
 	// ready: others may reach it.
 	unreadyAfter = 2500 * time.Millisecond
@@ -111,7 +114,7 @@
 	n.rotation = n.random.Uint64()
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
-		Place: n.place, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
+		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
 		Latency:    func() time.Duration { return n.latency.longest },
 		LengthHint: options.Decoder.LengthHint, Observed: n.observed,
 	})
@@ -403,6 +406,15 @@
 	return n.pick(&endpoint.Requests, query, route)
 }
 
+// placeScoring chooses an endpoint for an item's scoring call that has been to those
+// excluded.
+func (n *Node) placeScoring(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Exclude = exclude
+	query.Room = scoringRoom
+	return n.pick(&endpoint.ScoringCalls, query, route)
+}
+
 func (n *Node) query(now time.Time) *endpoint.Query {
 	n.rotation++
 	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
--- a/internal/process/cluster/status.go
+++ b/internal/process/cluster/status.go
@@ -39,10 +39,10 @@
 		return
 	}
 	n.status.nextAt = now.Add(statusEvery)
-	_, owned, running, _ := n.jobs.Counts()
+	counts := n.jobs.Counts()
 	least, _, _ := n.clock.bounds(now)
 	status := &doorstepv1.NodeStatus{
-		Zone: n.options.Zone, Incarnation: n.options.Incarnation, Ready: n.Ready(now), JobsOwned: int32(owned), ItemsRunning: int32(running),
+		Zone: n.options.Zone, Incarnation: n.options.Incarnation, Ready: n.Ready(now), JobsOwned: int32(counts.Owned), ItemsRunning: int32(counts.Running),
 		AtMs: least.Milliseconds(),
 	}
 	if n.routes != nil {
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
 const (
@@ -94,6 +95,24 @@
 	e.heardAt = now
 }
 
+// Attempted notes how an attempt of a request ended, and how long it took; reached says
+// that the endpoint answered. It reports whether the endpoint was ejected.
+func (e *Endpoint) Attempted(now time.Time, outcome relay.Outcome, reached bool, took time.Duration) (ejected bool) {
+	switch outcome {
+	case relay.Answered:
+		e.Succeeded(took)
+	case relay.NotRun:
+		if reached {
+			e.Busy(now)
+			return false
+		}
+		return e.Failed(now)
+	case relay.Errored, relay.Broken:
+		return e.Failed(now)
+	}
+	return false
+}
+
 // Succeeded notes an attempt that was answered, and how long that took.
 func (e *Endpoint) Succeeded(latency time.Duration) {
 	e.failures = 0
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Query says what a request needs of an endpoint.
 type Query struct {
@@ -45,7 +48,8 @@
 // Requests is the profile for callers' requests. Rollouts is the one for items of
 // batch jobs, which seek the endpoint that holds their prompt. LongRollouts is for
 // items whose text is long: these decide when a job is whole, so they seek the endpoint
-// that makes events fastest.
+// that makes events fastest. ScoringCalls is for calls that callers' requests go before:
+// they leave room for these.
 var (
 	Requests = Profile{
 		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
@@ -59,6 +63,10 @@
 		filters: Rollouts.filters,
 		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 2}, {SameZone, 0.1}},
 	}
+	ScoringCalls = Profile{
+		filters: append(slices.Clone(Requests.filters), HasRoom),
+		scorers: Requests.scorers,
+	}
 )
 
 // NotDraining drops endpoints that leave.
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -55,6 +55,9 @@
 	TextAdopted       = 914
 	ItemCompleted     = 915
 	JobRead           = 916
+	ScoringRetried    = 917
+	ItemScored        = 918
+	ScoringUnrouted   = 919
 	LogLinesDropped   = 990
 )
 
@@ -107,6 +110,9 @@
 	{TextAdopted, Info, "text adopted", "An item goes on from the text that the former owner of its job kept; events says how much."},
 	{ItemCompleted, Info, "item completed", "The whole text of an item is at hand; runs, events and times say how it came."},
 	{JobRead, Info, "batch job read", "A client read results; from and results say which, held_ms how long it was held for one."},
+	{ScoringRetried, Info, "scoring call retried", "An attempt of an item's scoring call brought no score; outcome, status and failures say why."},
+	{ItemScored, Info, "item scored", "The score of a whole text is at hand; replica, attempts and times say how it came."},
+	{ScoringUnrouted, Warn, "scoring call has no route", "The configuration in force has no route for an item's scoring call; it waits for one until the item may be given up."},
 	{LogLinesDropped, Warn, "log lines dropped", "The log was full or over its budget; so many lines were left out."},
 }
 
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
 // Task is one thing to be done.
@@ -54,7 +55,7 @@
 	Done     func(now time.Time, result RunResult)
 }
 
-// StopRun cancels a run; its Done is called as for any other end.
+// StopRun cancels a run or a scoring call; its Done is called as for any other end.
 type StopRun struct{ ID uint64 }
 
 // RunOutcome is how a run ended.
@@ -88,6 +89,33 @@
 	Pace time.Duration
 }
 
+// ScoringCall sends an item's scoring call to a replica of the service that scores.
+type ScoringCall struct {
+	// ID names the attempt within this node's life, among those of runs; StopRun cancels it.
+	ID uint64
+	// Request is the call's id at the replica.
+	Request string
+	// Replica and Address say where.
+	Replica, Address string
+	// Target is the path, Host and Body are the call's.
+	Target, Host string
+	Body         []byte
+	// Limit is the time granted to the attempt.
+	Limit time.Duration
+	Done  func(now time.Time, result ScoringResult)
+}
+
+// ScoringResult is the end of an attempt of a scoring call.
+type ScoringResult struct {
+	Outcome relay.Outcome
+	// Status is the answer's, 0 when none came.
+	Status int
+	// Score is the signature of a success.
+	Score string
+	// Err tells why no answer came whole.
+	Err error
+}
+
 // Order sends an order to a replica.
 type Order struct {
 	Order port.OrderVersion
@@ -109,14 +137,15 @@
 	Fields []any
 }
 
-func (Commit) isTask()  {}
-func (Range) isTask()   {}
-func (Run) isTask()     {}
-func (StopRun) isTask() {}
-func (Order) isTask()   {}
-func (Report) isTask()  {}
-func (Wake) isTask()    {}
-func (Log) isTask()     {}
+func (Commit) isTask()      {}
+func (Range) isTask()       {}
+func (Run) isTask()         {}
+func (StopRun) isTask()     {}
+func (ScoringCall) isTask() {}
+func (Order) isTask()       {}
+func (Report) isTask()      {}
+func (Wake) isTask()        {}
+func (Log) isTask()         {}
 
 // Queue collects tasks in order; it belongs to the node's loop.
 type Queue struct{ list []Task }
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -73,6 +73,9 @@
 	Random      *rand.Rand
 	// Place chooses an endpoint, nil when none has room.
 	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
+	// PlaceScoring chooses an endpoint for an item's scoring call that has been to those
+	// excluded, nil when none has room.
+	PlaceScoring func(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint
 	// LengthHint returns the tokens that a request's header says it will make.
 	LengthHint func(header http.Header) int
 	// Find returns an endpoint that is still listed.
@@ -139,25 +142,38 @@
 	Owner                 string
 }
 
-// Counts returns how many jobs are open, how many this node owns, and how many items
-// of these run or wait.
-func (j *Jobs) Counts() (open, owned, running, waiting int) {
+// Counts tells how many jobs and items there are in each state.
+type Counts struct {
+	// Open are the jobs known that are neither ended nor complete, Owned those whose
+	// items this node runs.
+	Open, Owned int
+	// Running, Waiting and Scoring are the items of owned jobs that run, wait for a
+	// replica, or are whole but for their score.
+	Running, Waiting, Scoring int
+}
+
+// Counts returns how many jobs and items there are.
+func (j *Jobs) Counts() Counts {
+	counts := Counts{Owned: len(j.owned)}
 	for _, known := range j.heads {
 		if !known.Ended && !known.complete() {
-			open++
+			counts.Open++
 		}
 	}
 	for _, job := range j.owned {
 		for i := range job.items {
 			switch job.items[i].state {
 			case itemRunning:
-				running++
+				counts.Running++
 			case itemWaiting:
-				waiting++
+				counts.Waiting++
+			case itemScoring:
+				counts.Scoring++
+			case itemFinished, itemListed:
 			}
 		}
 	}
-	return open, len(j.owned), running, waiting
+	return counts
 }
 
 // Observing notes whether the watch of the heads is unbroken.
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -24,11 +24,15 @@
 	jobs  *Jobs
 	one   *endpoint.Endpoint
 	route *port.Route
-	clock bool
+	// scoringRoute is that of scoring calls, which go to scorer.
+	scoringRoute *port.Route
+	scorer       *endpoint.Endpoint
+	clock        bool
 	// unheard is for how long the watch has not heard.
 	unheard time.Duration
 	latency time.Duration
 	runs    []task.Run
+	calls   []task.ScoringCall
 	stopped map[uint64]bool
 	// answer decides over a commit's answer; nil lets all through.
 	answer func(commit task.Commit) (port.RecordResult, bool)
@@ -41,11 +45,24 @@
 	b := &bench{now: epoch, store: store, queue: &task.Queue{}, clock: true, stopped: map[uint64]bool{}}
 	b.route = &port.Route{Name: "r", Kind: port.RouteBatch, MaxAttempts: 3, MaxQueue: 30 * time.Second, Backends: []port.Backend{{Service: "s", Weight: 1}}}
 	b.one = &endpoint.Endpoint{ReplicaRecord: port.ReplicaRecord{ID: "e", Service: "s", Slots: 100, Versions: map[string]int64{"m": 2}}}
+	b.scoringRoute = &port.Route{Name: "q", Kind: port.RouteIdempotent, MaxAttempts: 2, Timeout: 1500 * time.Millisecond, Backends: []port.Backend{{Service: "q", Weight: 1}}}
+	b.scorer = &endpoint.Endpoint{ReplicaRecord: port.ReplicaRecord{ID: "q", Service: "q", Slots: 6}}
 	b.jobs = New(Options{
 		Self: self, Incarnation: 1, Queue: b.queue, Random: rand.New(rand.NewPCG(1, 1)),
-		Place:      func(time.Time, Placement) *endpoint.Endpoint { return b.one },
+		Place: func(time.Time, Placement) *endpoint.Endpoint { return b.one },
+		PlaceScoring: func(_ time.Time, _ *port.Route, exclude map[string]bool) *endpoint.Endpoint {
+			if b.scorer == nil || exclude[b.scorer.ID] {
+				return nil
+			}
+			return b.scorer
+		},
 		Find:       func(string) *endpoint.Endpoint { return b.one },
-		Route:      func(string, string) *port.Route { return b.route },
+		Route: func(_, path string) *port.Route {
+			if path == scoringPath {
+				return b.scoringRoute
+			}
+			return b.route
+		},
 		Latency:    func() time.Duration { return b.latency },
 		Observed:   func(now time.Time) time.Time { return now.Add(-b.unheard) },
 		LengthHint: func(http.Header) int { return 0 },
@@ -74,6 +91,8 @@
 				t.Done(b.now, b.store.Range(b.now, t.Query))
 			case task.Run:
 				b.runs = append(b.runs, t)
+			case task.ScoringCall:
+				b.calls = append(b.calls, t)
 			case task.StopRun:
 				b.stopped[t.ID] = true
 			case task.Later:
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -44,8 +45,12 @@
 type itemState int
 
 const (
+	// itemWaiting items wait for a replica, itemRunning ones are at one.
 	itemWaiting itemState = iota
 	itemRunning
+	// itemScoring items have a whole text and wait for its score.
+	itemScoring
+	// itemFinished items have a result, itemListed ones a position.
 	itemFinished
 	itemListed
 )
@@ -62,8 +67,16 @@
 	// generation counts the texts that were begun; of the present one so many events
 	// are kept in the store, in so many parts.
 	generation, keptEvents, keptParts int
-	result                            *doorstepv1.BatchResult
-	finishedAt                        time.Time
+	// keptWhole is set once the store holds the whole text and knows it for whole.
+	keptWhole bool
+	// scoring is the present try to have the whole text scored, nil between tries;
+	// scoringTries counts the attempts of all tries.
+	scoring      *scoringTry
+	scoringTries int
+	// unrouted is set while the configuration has no route for the scoring call.
+	unrouted   bool
+	result     *doorstepv1.BatchResult
+	finishedAt time.Time
 	// waitsSince is when it began to wait for a replica.
 	waitsSince time.Time
 	// startedAt is when its first run was sent, runs counts them.
@@ -71,6 +84,8 @@
 	runs      int
 	// unsaved is set while a failure is not on record.
 	unsaved bool
+	// wholeAt is when its text was whole.
+	wholeAt time.Time
 	// interruptions counts the runs that broke off, moves those that were slow.
 	interruptions, moves int
 	// header is the request's, long tells that its text is among the longest.
@@ -114,7 +129,7 @@
 		return
 	}
 	for i := range o.items {
-		if o.items[i].state == itemWaiting || o.items[i].state == itemRunning {
+		if o.items[i].state < itemFinished {
 			o.terminate(now, i, "age")
 		}
 	}
@@ -131,11 +146,9 @@
 
 func (o *ownedJob) terminate(now time.Time, index int, reason string) {
 	one := &o.items[index]
-	if one.state == itemRunning {
-		o.jobs.options.Queue.Add(task.StopRun{ID: one.run})
-	}
+	o.stopItem(index)
 	o.jobs.options.Queue.Log(event.ItemTerminated, "job", o.id, "item", o.job.Items[index].Id, "reason", reason,
-		"failures", o.failures[int32(index)])
+		"failures", o.failures[int32(index)], "scoring_failures", o.scoringFailures[int32(index)])
 	one.events = nil
 	one.state = itemFinished
 	one.finishedAt = now
@@ -323,6 +336,8 @@
 		o.jobs.options.Queue.Log(event.ItemRetried, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint,
 			"outcome", int(result.Outcome), "status", result.Status, "events", len(one.events))
 	}
+	// A run may come to its end just as it is stopped: the job is handed over all the same.
+	o.finishStop(now)
 	o.advance(now)
 }
 
@@ -359,27 +374,45 @@
 		one.notAt = now.Add(busyPause)
 		return
 	}
-	result := &doorstepv1.BatchResult{Id: o.job.Items[index].Id, Completed: true}
-	message := make([]byte, 0, len(one.events)*(len(one.events[0].Data)+1))
+	one.wholeAt = now
+	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint, "events", len(one.events),
+		"versions", versionsOf(one.events), "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
+		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds())
+	if o.job.Items[index].Scoring != nil {
+		one.state = itemScoring
+		one.notAt = now
+		return
+	}
+	o.finish(now, index, "")
+}
+
+// finish makes the result of an item whose text is whole and has its score, if it is to
+// have one.
+func (o *ownedJob) finish(now time.Time, index int, score string) {
+	one := &o.items[index]
+	lines := make([]string, len(one.events))
 	for i, made := range one.events {
-		if i > 0 {
-			message = append(message, '\n')
-		}
-		message = append(message, made.Data...)
-		if !slices.Contains(result.Versions, made.Version) {
-			result.Versions = append(result.Versions, made.Version)
-		}
+		lines[i] = made.Data
+	}
+	one.result = &doorstepv1.BatchResult{
+		Id: o.job.Items[index].Id, Completed: true, Message: strings.Join(lines, "\n"), Versions: versionsOf(one.events), Score: score,
 	}
-	result.Message = string(message)
-	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", result.Id, "replica", one.endpoint, "events", len(one.events),
-		"versions", result.Versions, "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
-		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds())
 	one.events = nil
-	one.result = result
 	one.state = itemFinished
 	one.finishedAt = now
 }
 
+// versionsOf returns all versions that made an event of a text, in the order of their first.
+func versionsOf(events []port.ReplicaEvent) []int64 {
+	var versions []int64
+	for _, made := range events {
+		if !slices.Contains(versions, made.Version) {
+			versions = append(versions, made.Version)
+		}
+	}
+	return versions
+}
+
 func (o *ownedJob) failed(now time.Time, index int) {
 	one := &o.items[index]
 	o.failures[int32(index)]++
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -46,6 +46,7 @@
 		next.Paces = o.paces(now)
 	}
 	next.Failures = maps.Clone(o.failures)
+	next.ScoringFailures = maps.Clone(o.scoringFailures)
 	if o.handOver {
 		next.Owner = ""
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -36,6 +36,8 @@
 	order []int
 	// failures counts failed runs by item, also those of former owners.
 	failures map[int32]int32
+	// scoringFailures counts the failures of scoring calls in the same way.
+	scoringFailures map[int32]int32
 	// prompts maps a group to the endpoint that holds its prompt.
 	prompts    map[string]string
 	committing bool
@@ -137,7 +139,7 @@
 	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
-		prompts: map[string]string{}, failures: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
+		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
 	owned.prepare(now)
@@ -154,6 +156,9 @@
 	for index, count := range known.Failures {
 		o.failures[index] = max(o.failures[index], count)
 	}
+	for index, count := range known.ScoringFailures {
+		o.scoringFailures[index] = max(o.scoringFailures[index], count)
+	}
 	for i := range o.items {
 		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
 			o.items[i] = item{state: itemListed, run: o.items[i].run, endpoint: o.items[i].endpoint}
@@ -178,6 +183,7 @@
 	o.giveUp(now)
 	if !o.releasing && now.Sub(o.writtenAt) < unconfirmedFor && !now.Before(o.startAfter) {
 		o.startItems(now)
+		o.scoreItems(now)
 	}
 	o.write(now)
 	if !o.keeping && !o.releasing && now.Sub(o.keptAt) >= keepEvery {
@@ -187,16 +193,23 @@
 	}
 }
 
-// stopRuns cancels all runs; finishStop goes on once the last has ended.
+// stopRuns cancels all runs and scoring calls; finishStop goes on once the last has ended.
 func (o *ownedJob) stopRuns(now time.Time) {
 	for i := range o.items {
-		if o.items[i].state == itemRunning {
-			o.jobs.options.Queue.Add(task.StopRun{ID: o.items[i].run})
-		}
+		o.stopItem(i)
 	}
 	o.finishStop(now)
 }
 
+// stopItem cancels an item's run or scoring calls.
+func (o *ownedJob) stopItem(index int) {
+	one := &o.items[index]
+	if one.state == itemRunning {
+		o.jobs.options.Queue.Add(task.StopRun{ID: one.run})
+	}
+	o.stopScoring(one)
+}
+
 // finishStop keeps the texts of a job that is handed over, once all its runs have
 // brought them in.
 func (o *ownedJob) finishStop(now time.Time) {
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -36,6 +36,7 @@
 // kept is a part that is on its way to the store.
 type kept struct {
 	index, generation, until int
+	whole                    bool
 }
 
 // keepTexts writes what was made of texts since they were kept last.
@@ -44,17 +45,18 @@
 	transaction := port.RecordTransaction{}
 	size := 0
 	for i := range o.items {
-		one := &o.items[i]
-		whole := len(one.events) + len(one.progress)
-		if one.state != itemRunning && one.state != itemWaiting || whole-one.keptEvents < keptEvents {
+		if !o.mayKeep(i) {
 			continue
 		}
+		one := &o.items[i]
 		record := o.textPart(i)
 		size += len(record.Value)
 		if len(parts) >= keptAtOnce || size > transactionBytes || len(record.Value) > chunkBytes {
 			break
 		}
-		parts = append(parts, kept{index: i, generation: one.generation, until: whole})
+		parts = append(parts, kept{
+			index: i, generation: one.generation, until: len(one.events) + len(one.progress), whole: one.state == itemScoring,
+		})
 		transaction.Puts = append(transaction.Puts, record)
 	}
 	if len(parts) == 0 {
@@ -69,10 +71,24 @@
 	})
 }
 
+// mayKeep reports whether an item has something to keep: enough new events, or a text that
+// waits for its score and is not known for whole.
+func (o *ownedJob) mayKeep(index int) bool {
+	one := &o.items[index]
+	switch one.state {
+	case itemWaiting, itemRunning:
+		return len(one.events)+len(one.progress)-one.keptEvents >= keptEvents
+	case itemScoring:
+		return !one.keptWhole
+	case itemFinished, itemListed:
+	}
+	return false
+}
+
 // textPart encodes the events of a text that were not kept yet.
 func (o *ownedJob) textPart(index int) port.Record {
 	one := &o.items[index]
-	part := &doorstepv1.KeptText{}
+	part := &doorstepv1.KeptText{Whole: one.state == itemScoring}
 	for i := one.keptEvents; i < len(one.events)+len(one.progress); i++ {
 		made := one.eventAt(i)
 		part.Events = append(part.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
@@ -97,6 +113,7 @@
 		if one.generation == part.generation {
 			one.keptEvents = part.until
 			one.keptParts++
+			one.keptWhole = part.whole
 		}
 	}
 }
@@ -106,6 +123,7 @@
 	i.events, i.progress = nil, nil
 	i.generation++
 	i.keptEvents, i.keptParts = 0, 0
+	i.keptWhole = false
 }
 
 // readTexts looks for what former owners kept.
@@ -127,14 +145,14 @@
 				return
 			}
 			o.startAfter = now
-			o.adoptTexts(records)
+			o.adoptTexts(now, records)
 			o.advance(now)
 		},
 	})
 }
 
 // adoptTexts goes on from the longest whole text of each item.
-func (o *ownedJob) adoptTexts(records []port.Record) {
+func (o *ownedJob) adoptTexts(now time.Time, records []port.Record) {
 	for from := 0; from < len(records); {
 		prefix := records[from].Key[:strings.LastIndexByte(records[from].Key, '/')+1]
 		to := from
@@ -151,15 +169,16 @@
 		}
 		text := &doorstepv1.KeptText{}
 		if proto.Unmarshal(content, text) == nil {
-			o.adoptText(index, text)
+			o.adoptText(now, index, text)
 		}
 	}
 }
 
 // adoptText takes a text whose events follow one another from the first.
-func (o *ownedJob) adoptText(index int, text *doorstepv1.KeptText) {
+func (o *ownedJob) adoptText(now time.Time, index int, text *doorstepv1.KeptText) {
 	one := &o.items[index]
-	if one.state != itemWaiting || len(text.Events) <= len(one.events) {
+	whole := text.Whole && o.job.Items[index].Scoring != nil
+	if one.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(one.events) || len(text.Events) == len(one.events) && !whole {
 		return
 	}
 	var events []port.ReplicaEvent
@@ -172,5 +191,11 @@
 	one.events = events
 	o.checkVersions(index)
 	one.long = one.long || len(one.events) >= shortEvents
-	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events))
+	if whole && len(one.events) > 0 {
+		// A later life of this node writes under a prefix of its own, so the text is kept.
+		one.state = itemScoring
+		one.keptWhole = true
+		one.wholeAt = now
+	}
+	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events), "whole", one.state == itemScoring)
 }
--- a/internal/version/batch/text_test.go
+++ b/internal/version/batch/text_test.go
@@ -19,7 +19,7 @@
 		t.Errorf("both texts are kept under %s", after.Key)
 	}
 	owned.items[0].state = itemWaiting
-	owned.adoptText(0, &doorstepv1.KeptText{Events: []*doorstepv1.KeptEvent{{Id: 1, Version: 2}, {Id: 3, Version: 2}}})
+	owned.adoptText(b.now, 0, &doorstepv1.KeptText{Events: []*doorstepv1.KeptEvent{{Id: 1, Version: 2}, {Id: 3, Version: 2}}})
 	if got := len(owned.items[0].events); got != 0 {
 		t.Errorf("a text with a gap was taken, %d events", got)
 	}
