--- a/internal/command/standin/deployment.go
+++ b/internal/command/standin/deployment.go
@@ -22,6 +22,7 @@
 			for i := range c.Int("replicas") {
 				for _, kind := range []struct{ name, service, model string }{
 					{"plain", platformtest.PlainService, ""}, {"model", platformtest.ModelService, platformtest.Model},
+					{"scorer", platformtest.ScoringService, ""},
 				} {
 					one, err := platformtest.StartReplica(store, fmt.Sprintf("%s-%d", kind.name, i), kind.service, kind.model)
 					if err != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,6 +23,9 @@
 	jobs       map[string]*jobRecord
 	fences     map[int64]string
 	counts     map[string]int
+	// whole holds the items whose last event was made, failed counts failures by request.
+	whole  map[string]bool
+	failed map[string]int
 }
 
 // jobRecord is what is known of a job whose acceptance was told.
@@ -38,6 +41,7 @@
 	return &Checker{
 		runs: map[string]int{}, notRun: map[string]string{}, atMostOnce: map[string]bool{}, refused: map[string]string{},
 		jobs: map[string]*jobRecord{}, fences: map[int64]string{}, counts: map[string]int{},
+		whole: map[string]bool{}, failed: map[string]int{},
 	}
 }
 
@@ -82,6 +86,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runs[id]++
+	if item, scoring := platformtest.ScoredItem(id); scoring {
+		c.counts["scoring calls"]++
+		if !c.whole[item] {
+			c.violate("item %s is scored at %s before its text is whole", item, replica)
+		}
+	}
 	if c.atMostOnce[id] && c.runs[id] > 1 {
 		c.violate("request %s, which is unsafe to repeat, ran %d times, last at %s", id, c.runs[id], replica)
 	}
@@ -95,6 +105,20 @@
 	}
 }
 
+// MadeWhole takes an item whose last event a replica makes.
+func (c *Checker) MadeWhole(item string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole[item] = true
+}
+
+// Failed takes a request that a replica answers with a failure.
+func (c *Checker) Failed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed[id]++
+}
+
 // Ordered takes a version order that a replica took.
 func (c *Checker) Ordered(order port.OrderVersion) {
 	c.mu.Lock()
@@ -206,7 +230,7 @@
 
 func (c *Checker) readOne(known *jobRecord, position int, result platformtest.Result) {
 	if position < len(known.results) {
-		if had := known.results[position]; had.ID != result.ID || had.State != result.State || had.Message != result.Message {
+		if had := known.results[position]; had.ID != result.ID || had.State != result.State || had.Message != result.Message || had.Score != result.Score {
 			c.violate("job %s: position %d held %s (%s) and holds %s (%s)", known.job.ID, position, had.ID, had.State, result.ID, result.State)
 		}
 		return
@@ -227,7 +251,7 @@
 // themselves.
 func (c *Checker) checkResult(known *jobRecord, result platformtest.Result) {
 	if result.State != platformtest.Completed {
-		if !known.ended {
+		if !known.ended && c.failed[platformtest.ScoringID(result.ID)] < platformtest.ScoringAttempts {
 			c.violate("job %s: item %s was given up", known.job.ID, result.ID)
 		}
 		return
@@ -242,6 +266,9 @@
 	if !slices.Equal(told, versions) {
 		c.violate("job %s: item %s was made by versions %v and names %v", known.job.ID, result.ID, versions, told)
 	}
+	if known.job.Scored && !result.Scored() {
+		c.violate("job %s: item %s has the score %q", known.job.ID, result.ID, result.Score)
+	}
 	if versions[0] < known.job.MinVersion {
 		c.violate("job %s: item %s was made by version %d, below %d", known.job.ID, result.ID, versions[0], known.job.MinVersion)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -11,6 +11,8 @@
 
 var job = platformtest.Job{ID: "j", Items: 2, MinVersion: 2}
 
+var scoredJob = platformtest.Job{ID: "j", Items: 2, MinVersion: 2, Scored: true}
+
 func text(item string, version int64) string {
 	var events []string
 	for id := int64(1); id <= model.ItemEvents(item); id++ {
@@ -90,6 +92,33 @@
 			c.Ended("j")
 			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{{ID: "j-0", State: platformtest.Terminated}}})
 		}},
+		{"scored after its text", "", func(c *Checker) { c.MadeWhole("j-0"); c.Ran("x", "j-0.score") }},
+		{"scored before its text is whole", "before its text is whole", func(c *Checker) { c.Ran("x", "j-0.score") }},
+		{"score of another item", "has the score", func(c *Checker) {
+			c.Accepted(scoredJob)
+			one := result("j-0", 2)
+			one.Score = "x.j-1.score"
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{one}})
+		}},
+		{"no score", "has the score", func(c *Checker) {
+			c.Accepted(scoredJob)
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{result("j-0", 2)}})
+		}},
+		{"score changed", "position 0 held", func(c *Checker) {
+			c.Accepted(scoredJob)
+			for _, replica := range []string{"x", "y"} {
+				one := result("j-0", 2)
+				one.Score = replica + ".j-0.score"
+				c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{one}})
+			}
+		}},
+		{"given up as its scoring failed", "", func(c *Checker) {
+			c.Accepted(scoredJob)
+			for range platformtest.ScoringAttempts {
+				c.Failed("j-0.score")
+			}
+			c.Read("j", 0, platformtest.Reading{Total: 2, Results: []platformtest.Result{{ID: "j-0", State: platformtest.Terminated}}})
+		}},
 		{"refused job ran before", "at every try", func(c *Checker) { c.Ran("x", "j-1"); c.Refused(job, 503) }},
 		{"refused job runs", "though its job", func(c *Checker) { c.Refused(job, 503); c.Ran("x", "j-1") }},
 		{"refused job, other job's item", "", func(c *Checker) { c.Refused(job, 503); c.Ran("x", "j2-1") }},
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,8 @@
 	calmBetween = 4 * time.Second
 	// faultsAtOnce is the most faults of one round.
 	faultsAtOnce = 3
+	// slowReplicaBy is how much longer a slow replica's whole bodies take.
+	slowReplicaBy = 300 * time.Millisecond
 )
 
 // Fault is a kind of trouble that is brought about from outside the programs.
@@ -79,6 +82,9 @@
 	ReplicaFull    ReplicaKind = "full"
 	ReplicaDrains  ReplicaKind = "drains"
 	ReplicaCrashes ReplicaKind = "crashes"
+	ReplicaLoses   ReplicaKind = "loses"
+	ReplicaDoubles ReplicaKind = "doubles"
+	ReplicaSlow    ReplicaKind = "slow"
 )
 
 func (NodePause) isFault()    {}
@@ -112,7 +118,7 @@
 // Draw draws a fault.
 func Draw(random *rand.Rand) Fault {
 	stores := []StoreKind{StoreSilent, StoreRefusing, StoreLosing, StoreLate, StoreSlow, StoreForget, StoreHush}
-	replicas := []ReplicaKind{ReplicaBreaks, ReplicaFails, ReplicaFull, ReplicaDrains, ReplicaCrashes}
+	replicas := []ReplicaKind{ReplicaBreaks, ReplicaFails, ReplicaFull, ReplicaDrains, ReplicaCrashes, ReplicaLoses, ReplicaDoubles, ReplicaSlow}
 	switch random.IntN(12) {
 	case 0:
 		return NodePause{For: upTo(random, 4*time.Second)}
@@ -305,6 +311,12 @@
 		}
 	case ReplicaFull:
 		r.Full.Store(true)
+	case ReplicaLoses:
+		r.Losing.Store(true)
+	case ReplicaDoubles:
+		r.Doubling.Store(true)
+	case ReplicaSlow:
+		r.SlowBy.Store(int64(slowReplicaBy))
 	case ReplicaDrains:
 		s.replace(r, true)
 		return
@@ -313,7 +325,13 @@
 		return
 	}
 	time.Sleep(fault.For)
-	r.Broken.Store(false)
-	r.Failing.Store(false)
-	r.Full.Store(false)
+	healReplica(r)
+}
+
+// healReplica ends every fault of a replica.
+func healReplica(r *replica) {
+	for _, flag := range []*atomic.Bool{&r.Broken, &r.Failing, &r.Full, &r.Losing, &r.Doubling} {
+		flag.Store(false)
+	}
+	r.SlowBy.Store(0)
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -25,6 +25,8 @@
 	// endOneIn is the part of the jobs, one in so many, that are ended before they are
 	// whole.
 	endOneIn = 5
+	// unscoredOneIn is the part of the jobs, one in so many, whose items have no scoring call.
+	unscoredOneIn = 4
 	// newestOneIn is the part of the jobs, one in so many, that want the newest version.
 	newestOneIn = 3
 	// appliedWithin is how soon a configuration is in force at nodes in touch, of which
@@ -105,6 +107,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		job := platformtest.Job{
 			ID: fmt.Sprintf("job.%d.%d", number, i), Items: jobItems, GroupSize: groupItems, MinVersion: s.leastVersion(random),
+			Scored: random.IntN(unscoredOneIn) != 0,
 		}
 		early := random.IntN(endOneIn) == 0
 		if s.handIn(ctx, random, job) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -132,7 +132,9 @@
 	s.version.Store(1)
 	s.configure()
 	for range s.ReplicaCount {
-		for _, kind := range []struct{ service, model string }{{platformtest.PlainService, ""}, {platformtest.ModelService, platformtest.Model}} {
+		for _, kind := range []struct{ service, model string }{
+			{platformtest.PlainService, ""}, {platformtest.ModelService, platformtest.Model}, {platformtest.ScoringService, ""},
+		} {
 			if err := s.addReplica(kind.service, kind.model); err != nil {
 				return err
 			}
@@ -178,8 +180,10 @@
 			}
 			return listed
 		},
-		OnRun:   func(request string) { s.check.Ran(id, request) },
-		OnOrder: s.check.Ordered,
+		OnRun:    func(request string) { s.check.Ran(id, request) },
+		OnWhole:  s.check.MadeWhole,
+		OnFailed: s.check.Failed,
+		OnOrder:  s.check.Ordered,
 	}
 	one, err := platformtest.StartReplicaConfig(s.store, cfg)
 	if err != nil {
@@ -292,9 +296,7 @@
 	for _, r := range s.replicas {
 		r.link.SetMode(LinkOpen)
 		r.link.SetDelay(0)
-		r.Broken.Store(false)
-		r.Failing.Store(false)
-		r.Full.Store(false)
+		healReplica(r)
 	}
 	s.touched()
 }
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -56,7 +56,7 @@
 			}
 			return b.scorer
 		},
-		Find:       func(string) *endpoint.Endpoint { return b.one },
+		Find: func(string) *endpoint.Endpoint { return b.one },
 		Route: func(_, path string) *port.Route {
 			if path == scoringPath {
 				return b.scoringRoute
