Simulator: scoring services that fail, unfenced replicas, orders under way for long; an order's limit ends with its lease

Without fences an order of the holder before would arrive within the pause of the next holder; it now must have arrived by the end of the lease that it was given under. A holder that is refused for a newer fence stops at once.

--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -175,7 +175,7 @@
 func (a *Agent) order(t task.Order) {
 	path, body := a.protocol.EncodeOrder(t.Order)
 	status := port.VersionOrderUnknown
-	code, _, err := a.control(t.Order.Replica, t.Order.Address, http.MethodPost, path, body)
+	code, _, err := a.control(t.Order.Replica, t.Order.Address, http.MethodPost, path, body, t.Limit)
 	if err == nil {
 		status = a.protocol.DecodeOrderStatus(code)
 	}
@@ -185,19 +185,20 @@
 // report asks a replica for its state.
 func (a *Agent) report(t task.Report) {
 	var report port.ReplicaReport
-	code, content, err := a.control(t.Replica, t.Address, http.MethodGet, a.protocol.ReportPath(), nil)
+	code, content, err := a.control(t.Replica, t.Address, http.MethodGet, a.protocol.ReportPath(), nil, controlTimeout)
 	if err == nil && code == http.StatusOK {
 		report = a.protocol.DecodeReport(content)
 	}
 	a.do(func(now time.Time) { t.Done(now, report) })
 }
 
-// control makes a short call to a replica, bound to its incarnation.
-func (a *Agent) control(replica, address, method, path string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(a.base, controlTimeout)
+// control makes a short call to a replica, bound to its incarnation and within a limit.
+func (a *Agent) control(replica, address, method, path string, body []byte, limit time.Duration) (int, []byte, error) {
+	limit = min(limit, controlTimeout)
+	ctx, cancel := context.WithTimeout(a.base, limit)
 	defer cancel()
 	header := http.Header{}
-	a.protocol.Address(header, replica, controlTimeout)
+	a.protocol.Address(header, replica, limit)
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -119,6 +119,9 @@
 // Order sends an order to a replica.
 type Order struct {
 	Order port.OrderVersion
+	// Limit is the time in which it must have reached the replica: the sender may not order
+	// any more behind it.
+	Limit time.Duration
 	Done  func(now time.Time, status port.VersionOrderStatus)
 }
 
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -35,6 +35,13 @@
 	{"replica-breaks", "a replica breaks off its streams", 10 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().breaking) }},
 	{"replica-drains", "a replica announces that it leaves, and goes", 9 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyReplica().drain() }},
 	{"orders-late", "orders get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.lateOrders) }},
+	{"orders-slow", "orders are under way for up to a second", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.slowOrders) }},
+	{"scorer-crash", "a replica that scores dies and another takes its address", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.anyScorer().crash(lasts) }},
+	{"scorer-dark", "a replica that scores answers nothing for a while", 12 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().dark) }},
+	{"scorer-fails", "a replica that scores answers half of its calls with a failure", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().failing) }},
+	{"scorer-loses", "a replica that scores loses half of its answers", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().losing) }},
+	{"scorer-slow", "a replica that scores takes twenty times as long", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().slow) }},
+	{"scorer-drains", "a replica that scores announces that it leaves, and goes", 12 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyScorer().drain() }},
 }
 
 // FindFaults resolves names, "all" and "none" to kinds of faults.
--- a/internal/standin/model/generator.go
+++ b/internal/standin/model/generator.go
@@ -19,6 +19,8 @@
 	LoadFor time.Duration
 	// Versions are the weights that it holds.
 	Versions map[string]int64
+	// Unfenced replicas take orders of any fence.
+	Unfenced bool
 
 	running   int
 	sequence  int64
@@ -75,7 +77,7 @@
 	switch {
 	case order.Replica != g.ID:
 		return port.VersionOrderRefused
-	case order.Fence < g.fence:
+	case order.Fence < g.fence && !g.Unfenced:
 		return port.VersionOrderFenced
 	case g.Versions[order.Model] == order.Version:
 		return port.VersionOrderHeld
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -79,6 +79,23 @@
 // Held reports whether this node holds the lease now.
 func (l *Lease) Held(now time.Time) bool { return l.held && now.Before(l.validUntil) }
 
+// Left returns how long this node holds the lease unless it renews it. What it sends must
+// have arrived by then: the pause of the next holder counts from there.
+func (l *Lease) Left(now time.Time) time.Duration {
+	if !l.Held(now) {
+		return 0
+	}
+	return l.validUntil.Sub(now)
+}
+
+// Fenced notes that an act under a fence was refused as a newer holder has acted. This node
+// stops at once; a later acquisition brings a newer fence.
+func (l *Lease) Fenced(fence int64) {
+	if l.held && fence == l.fence {
+		l.lose("refused for a newer fence")
+	}
+}
+
 // Fence returns the number that orders the holders.
 func (l *Lease) Fence() int64 { return l.fence }
 
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -314,18 +314,20 @@
 	state.orderedAt = now
 	state.notAt = now.Add(firstLook)
 	one.endpoint.SetLoading(one.model, now.Add(firstLook))
+	fence := r.options.Lease.Fence()
 	r.options.Queue.Add(task.Order{
+		Limit: r.options.Lease.Left(now),
 		Order: port.OrderVersion{
 			Replica: one.endpoint.ID, Address: one.endpoint.Address, Model: one.model, Version: one.version,
-			Holder: r.options.Self, Fence: r.options.Lease.Fence(), ExpectedSequence: state.sequence,
+			Holder: r.options.Self, Fence: fence, ExpectedSequence: state.sequence,
 		},
-		Done: func(now time.Time, status port.VersionOrderStatus) { r.onOrder(now, one, state, status) },
+		Done: func(now time.Time, status port.VersionOrderStatus) { r.onOrder(now, one, state, fence, status) },
 	})
 }
 
-func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, status port.VersionOrderStatus) {
+func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, fence int64, status port.VersionOrderStatus) {
 	r.options.Queue.Log(event.VersionOrdered, "replica", one.endpoint.ID, "model", one.model, "version", one.version,
-		"fence", r.options.Lease.Fence(), "sequence", state.sequence, "status", int(status))
+		"fence", fence, "sequence", state.sequence, "status", int(status))
 	switch status {
 	case port.VersionOrderAccepted:
 		state.answered = true
@@ -334,6 +336,9 @@
 	case port.VersionOrderUnknown:
 		state.notAt = now.Add(lookEvery)
 	case port.VersionOrderConflict, port.VersionOrderFenced, port.VersionOrderRefused:
+		if status == port.VersionOrderFenced {
+			r.options.Lease.Fenced(fence)
+		}
 		state.ordered = false
 		state.notAt = now.Add(failPause)
 		one.endpoint.SetLoading(one.model, time.Time{})
