--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -207,6 +207,9 @@
 		}
 	}
 	c.score(w, known, result, version)
+	if known.content.Model == singleVersionModel && len(versions) > 1 {
+		c.violate(w, "versions-true", "%s was made by %v, one version is wanted", result.Id, versions)
+	}
 	named := slices.Clone(result.Versions)
 	slices.Sort(versions)
 	slices.Sort(named)
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -22,8 +22,11 @@
 	generatorName = "generator"
 )
 
-// models are those that the replicas hold.
-var models = []string{"model-a", "model-b"}
+// models are those that the replicas hold; each text of singleVersionModel is to be made by
+// one version.
+var models = []string{"model-a", singleVersionModel}
+
+const singleVersionModel = "model-b"
 
 // replica is one incarnation of a replica.
 type replica struct {
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -51,7 +51,7 @@
 	for _, name := range models {
 		o.table.Routes = append(o.table.Routes, port.Route{
 			Name: name, Host: host, PathPrefix: "/" + name + "/", Kind: port.RouteBatch, MaxAttempts: maxAttempts, MaxQueue: maxQueue,
-			Backends: []port.Backend{{Service: generatorName, Weight: 1}},
+			Backends: []port.Backend{{Service: generatorName, Weight: 1}}, SingleVersion: name == singleVersionModel,
 		})
 	}
 	o.table.Routes = append(o.table.Routes, port.Route{
--- a/internal/standin/model/generator.go
+++ b/internal/standin/model/generator.go
@@ -30,8 +30,17 @@
 	loadUntil time.Time
 }
 
+// longOneIn is the part of the items, one in so many, whose texts are far longer.
+const longOneIn = 8
+
 // ItemEvents is how many events an item's text has: it follows from its id.
-func ItemEvents(item string) int64 { return 4 + int64(xxhash.Sum64String(item)%28) }
+func ItemEvents(item string) int64 {
+	hash := xxhash.Sum64String(item)
+	if hash%longOneIn == 0 {
+		return 60 + int64(hash/longOneIn%60)
+	}
+	return 4 + int64(hash%28)
+}
 
 // ItemEvent is the payload of an item's event; a text must hold each once and in order.
 func ItemEvent(item string, id int64) string { return fmt.Sprintf("%s#%d", item, id) }
