--- a/internal/command/operator/explain.go
+++ b/internal/command/operator/explain.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -204,15 +206,37 @@
 		case event.RequestAnswered:
 			return fmt.Sprintf("answered by replica %s with status %s after %s attempts and %s ms", one.text("replica"), one.text("status"), one.text("attempts"), one.text("took_ms"))
 		case event.ItemTerminated:
-			return fmt.Sprintf("the item was given up: %s, after %s failed runs", one.text("reason"), one.text("failures"))
+			return fmt.Sprintf("the item was given up: %s, after %s failed runs and %s failed scoring calls%s",
+				one.text("reason"), one.text("failures"), one.text("scoring_failures"), scoringCause(own))
 		case event.ItemCompleted:
-			return fmt.Sprintf("the item was completed at replica %s, %s ms after its first run, in %s runs with %s interruptions and %s moves; %s us an event",
-				one.text("replica"), one.text("since_ms"), one.text("runs"), one.text("interruptions"), one.text("moves"), one.text("pace_us"))
+			return fmt.Sprintf("the item was completed at replica %s, %s ms after its first run, in %s runs with %s interruptions and %s moves; %s us an event%s",
+				one.text("replica"), one.text("since_ms"), one.text("runs"), one.text("interruptions"), one.text("moves"), one.text("pace_us"), scoringCause(own))
 		}
 	}
 	return "undecided in these logs; last: " + last.message
 }
 
+// scoringCause says what became of an item's scoring call, if its text was whole and to be
+// scored.
+func scoringCause(own []*logLine) string {
+	cause := ""
+	for _, one := range own {
+		switch one.number {
+		case event.ItemCompleted:
+			if one.text("to_score") == "true" {
+				cause = "; never scored"
+			}
+		case event.ScoringUnrouted:
+			cause = fmt.Sprintf("; never scored: no route for %s%s", one.text("host"), one.text("path"))
+		case event.ScoringRetried:
+			cause = fmt.Sprintf("; never scored: last, replica %s %s, %s failures", one.text("replica"), attemptCause(one), one.text("failures"))
+		case event.ItemScored:
+			return fmt.Sprintf("; scored by replica %s %s ms after that, in %s attempts", one.text("replica"), one.text("since_whole_ms"), one.text("attempts"))
+		}
+	}
+	return cause
+}
+
 // jobCause sums up what became of a batch job.
 func jobCause(timeline, own []*logLine) string {
 	count := map[int]int{}
@@ -269,6 +293,9 @@
 	if text := one.text("error"); text != "" {
 		return text
 	}
+	if status := one.text("status"); status == strconv.Itoa(http.StatusInternalServerError) {
+		return "answered " + status
+	}
 	return "answered " + one.text("status") + " and did not run it"
 }
 
--- a/internal/command/operator/explain_simulated_test.go
+++ b/internal/command/operator/explain_simulated_test.go
@@ -65,6 +65,9 @@
 	}{
 		{"none", "item", event.ItemTerminated, "failing", "failed at every attempt"},
 		{"none", "item", event.ItemTerminated, "impossible", "impossible"},
+		{"none", "item", event.ItemScored, "item", "scored by replica scorer-"},
+		{"none", "item", event.ItemTerminated, "unscorable", "never scored: last, replica scorer-"},
+		{"scorer-fails", "item", event.ItemScored, "item", "in 2 attempts"},
 		{"replica-breaks", "item", event.ItemRetried, "item", "interruptions"},
 		{"replica-slow", "item", event.ItemCompleted, "item", "us an event"},
 		{"node-kill", "job", event.JobTaken, "job", "taken over 1 times"},
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -377,7 +377,7 @@
 	one.wholeAt = now
 	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint, "events", len(one.events),
 		"versions", versionsOf(one.events), "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
-		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds())
+		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds(), "to_score", o.job.Items[index].Scoring != nil)
 	if o.job.Items[index].Scoring != nil {
 		one.state = itemScoring
 		one.notAt = now
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -27,6 +27,11 @@
 	// late holds orders back: they get no answer and come after a while.
 	late   bool
 	queued []func()
+	// fenced replicas have seen a newer holder than any; sent are the orders, left what
+	// the lease still held when each was sent.
+	fenced bool
+	sent   []task.Order
+	left   []time.Duration
 }
 
 func newBench(replicas int) *bench {
@@ -74,6 +79,12 @@
 		t.Done(b.now, b.generators[t.Replica].Report(b.now))
 	case task.Order:
 		b.orders++
+		b.sent = append(b.sent, t)
+		b.left = append(b.left, b.lease.Left(b.now))
+		if b.fenced {
+			t.Done(b.now, port.VersionOrderFenced)
+			return
+		}
 		if b.late {
 			b.queued = append(b.queued, func() { b.generators[t.Order.Replica].Order(b.now, t.Order) })
 			t.Done(b.now, port.VersionOrderUnknown)
@@ -152,6 +163,47 @@
 	}
 }
 
+// TestOrdersEndWithTheLease: an order that is under way longer than its lease would arrive
+// within the pause of the next holder, where replicas check no fences.
+func TestOrdersEndWithTheLease(t *testing.T) {
+	b := newBench(6)
+	b.run(time.Second)
+	for version := int64(2); version <= 6; version++ {
+		b.rollout.Name(port.VersionTarget{Model: "m", Version: version})
+		b.run(4 * time.Second)
+	}
+	if len(b.sent) == 0 {
+		t.Fatal("no order was sent")
+	}
+	for i, order := range b.sent {
+		if order.Limit <= 0 || order.Limit > b.left[i] || order.Limit > recordlease.Validity {
+			t.Errorf("order %d may take %s, the lease is held for %s", i, order.Limit, b.left[i])
+		}
+	}
+}
+
+// TestFencedHolderStops: no second order follows under a fence that was refused.
+func TestFencedHolderStops(t *testing.T) {
+	b := newBench(6)
+	b.run(time.Second)
+	b.fenced = true
+	b.rollout.Name(port.VersionTarget{Model: "m", Version: 3})
+	b.run(10 * time.Second)
+	refused := map[int64]int{}
+	for _, order := range b.sent {
+		refused[order.Order.Fence]++
+	}
+	for fence, orders := range refused {
+		// Those of one moment are under way before the first is refused.
+		if orders > 2 {
+			t.Errorf("%d orders under fence %d", orders, fence)
+		}
+	}
+	if len(refused) < 2 {
+		t.Errorf("%d fences: the holder takes a newer one", len(refused))
+	}
+}
+
 // TestThreeModelsKeepUp: before replicas were grouped by model, and with two loads at
 // once for any service, the models' versions were never on half of their replicas.
 func TestThreeModelsKeepUp(t *testing.T) {
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -38,4 +38,6 @@
 prove 9-in-force in-force 1..20 all
 prove 10-ages results-true 1..20 all
 prove 11-attempts attempts-bounded 1..10 none
+prove 12-whole-texts results-true 1..10 all
+prove 13-scoring-failures results-true 1..10 all
 exit $failed
