--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -136,7 +136,7 @@
 	for _, e := range g.configuration().Experiments {
 		rows = append(rows, []string{
 			e.Name, e.Policy, e.Service, stateName(e.State), strings.Join(e.Trainers, ","), number(e.Samples), number(e.StalenessBound),
-			number(e.IdleWeight), number(e.Share), e.Prompts, number(e.MaxTokens),
+			number(e.IdleWeight), number(e.Share), e.Prompts, number(e.MaxTokens), e.Scoring,
 		})
 	}
 	return rows
--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -46,13 +46,13 @@
 			defer a.mu.Unlock()
 			return a.node.Operators()
 		},
-		Route: func(service string) *port.Route {
+		Route: func(service string, kind port.RouteKind) *port.Route {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			if a.node.Routes() == nil {
 				return nil
 			}
-			return a.node.Routes().BatchRoute(service)
+			return a.node.Routes().RouteTo(service, kind)
 		},
 	}
 }
--- a/internal/request/query/query.go
+++ b/internal/request/query/query.go
@@ -14,7 +14,7 @@
 
 // Columns names the columns of each subject.
 var Columns = map[string][]string{
-	"experiments": {"experiment", "policy", "service", "state", "trainers", "samples", "staleness", "idle_weight", "share", "prompts", "max_tokens"},
+	"experiments": {"experiment", "policy", "service", "state", "trainers", "samples", "staleness", "idle_weight", "share", "prompts", "max_tokens", "scoring"},
 	"policies":    {"policy", "experiment", "newest", "state"},
 	"versions":    {"policy", "version", "replicas"},
 	"replicas":    {"replica", "service", "zone", "address", "slots", "policy", "version", "state"},
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -106,7 +106,7 @@
 }
 
 type setting struct {
-	Name   string   `parser:"@('policy'|'service'|'prompts'|'trainers'|'samples'|'staleness'|'idle_weight'|'max_tokens'|'share'|'min_version'|'max_version')"`
+	Name   string   `parser:"@('policy'|'service'|'scoring'|'prompts'|'trainers'|'samples'|'staleness'|'idle_weight'|'max_tokens'|'share'|'min_version'|'max_version')"`
 	Values []string `parser:"@(Word|String|Number) (',' @(Word|String|Number))*"`
 }
 
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -390,18 +390,23 @@
 // have one.
 func (o *ownedJob) finish(now time.Time, index int, score string) {
 	one := &o.items[index]
-	lines := make([]string, len(one.events))
-	for i, made := range one.events {
-		lines[i] = made.Data
-	}
 	one.result = &doorstepv1.BatchResult{
-		Id: o.job.Items[index].Id, Completed: true, Message: strings.Join(lines, "\n"), Versions: versionsOf(one.events), Score: score,
+		Id: o.job.Items[index].Id, Completed: true, Message: textOf(one.events), Versions: versionsOf(one.events), Score: score,
 	}
 	one.events = nil
 	one.state = itemFinished
 	one.finishedAt = now
 }
 
+// textOf returns the payloads of a text's events, one a line.
+func textOf(events []port.ReplicaEvent) string {
+	lines := make([]string, len(events))
+	for i, made := range events {
+		lines[i] = made.Data
+	}
+	return strings.Join(lines, "\n")
+}
+
 // versionsOf returns all versions that made an event of a text, in the order of their first.
 func versionsOf(events []port.ReplicaEvent) []int64 {
 	var versions []int64
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -125,7 +126,7 @@
 	chosen.UsedAt = now
 	o.openRuns++
 	o.jobs.options.Queue.Add(task.ScoringCall{
-		ID: id, Request: call.Id, Replica: chosen.ID, Address: chosen.Address, Target: call.Path, Host: call.Host, Body: call.Body,
+		ID: id, Request: call.Id, Replica: chosen.ID, Address: chosen.Address, Target: call.Path, Host: call.Host, Body: o.scoringBody(index),
 		Limit: try.relay.Left(now),
 		Done: func(later time.Time, result task.ScoringResult) {
 			chosen.InFlight--
@@ -135,6 +136,26 @@
 	})
 }
 
+// scoredText is the body of a scoring call that tells the service what it scores.
+type scoredText struct {
+	Prompt   string  `json:"prompt"`
+	Text     string  `json:"text"`
+	Versions []int64 `json:"versions"`
+}
+
+// scoringBody returns the body of an item's scoring call.
+func (o *ownedJob) scoringBody(index int) []byte {
+	one, call := &o.items[index], o.job.Items[index].Scoring
+	if !call.SendText {
+		return call.Body
+	}
+	body, err := json.Marshal(scoredText{Prompt: string(call.Body), Text: textOf(one.events), Versions: versionsOf(one.events)})
+	if err != nil {
+		panic("a scoring call must encode: " + err.Error())
+	}
+	return body
+}
+
 // onScoring takes the end of an attempt.
 func (o *ownedJob) onScoring(now time.Time, index int, try *scoringTry, id uint64, chosen *endpoint.Endpoint, result task.ScoringResult, took time.Duration) {
 	one := &o.items[index]
--- a/internal/version/batch/scoring_test.go
+++ b/internal/version/batch/scoring_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+func TestScoringCallsThatTellTheText(t *testing.T) {
+	b := newBench("a", newStore())
+	job := newScoredJob("j", 1)
+	job.Items[0].Scoring.SendText = true
+	b.accept(job)
+	b.pass(200 * time.Millisecond)
+	b.finish(b.takeRuns()[0], task.RunCompleted, 2, 2)
+	b.pass(100 * time.Millisecond)
+	calls := b.takeCalls()
+	if want := `{"prompt":"s","text":"j-0#1\nj-0#2","versions":[2]}`; len(calls) != 1 || string(calls[0].Body) != want {
+		t.Errorf("%d calls, %s", len(calls), calls[0].Body)
+	}
+}
+
 func TestTextsThatAreThrownAwayAreNotScored(t *testing.T) {
 	b := newBench("a", newStore())
 	b.accept(newScoredJob("j", 1))
--- a/internal/version/configuration/change.go
+++ b/internal/version/configuration/change.go
@@ -26,6 +26,8 @@
 	defaultMaximumTokens  = 512
 	defaultShare          = 1
 	maximumWeight         = 100
+	// noService is what an operator sets for a service that is not wanted any more.
+	noService = "none"
 )
 
 // Apply returns a copy of the configuration with the command carried out, or
@@ -141,6 +143,11 @@
 		experiment.Service = value
 	case "prompts":
 		experiment.Prompts = value
+	case "scoring":
+		experiment.Scoring = value
+		if value == noService {
+			experiment.Scoring = ""
+		}
 	case "samples":
 		return setNumber(setting.Name, value, 1, MaximumSamples, func(n int64) { experiment.Samples = uint32(n) })
 	case "staleness":
--- a/internal/version/configuration/change_test.go
+++ b/internal/version/configuration/change_test.go
@@ -57,6 +57,10 @@
 		{created + "create experiment f with policy r service s prompts q trainers a; run e beside f shares 3 to 1", "", func(c *doorstepv1.Configuration) bool {
 			return c.Experiments[0].Share == 3 && c.Experiments[1].Share == 1
 		}},
+		{created + "alter experiment e set scoring judge", "", func(c *doorstepv1.Configuration) bool { return c.Experiments[0].Scoring == "judge" }},
+		{created + "alter experiment e set scoring judge; alter experiment e set scoring none", "", func(c *doorstepv1.Configuration) bool {
+			return c.Experiments[0].Scoring == ""
+		}},
 		{created + "delete experiment e", "", func(c *doorstepv1.Configuration) bool { return len(c.Experiments) == 0 }},
 		{"drain zone z; undrain zone z", "", func(c *doorstepv1.Configuration) bool { return len(c.Drains) == 0 && c.Revision == 3 }},
 		{"drain zone z; drain zone z", "drained already", nil},
--- a/internal/version/experiment/draw.go
+++ b/internal/version/experiment/draw.go
@@ -49,12 +49,23 @@
 	return fmt.Sprintf("step.%s.%d.%d", name, s.Number, attempt)
 }
 
+// DrawRoutes are the routes that a step's job goes by.
+type DrawRoutes struct {
+	// Batch takes batch jobs for the experiment's service; Scoring goes to the one that
+	// scores its samples, nil if there is none.
+	Batch, Scoring *port.Route
+}
+
 // NewDraw fixes what a step is drawn from. newest is the policy's newest version.
-func NewDraw(e *doorstepv1.Experiment, route *port.Route, newest int64, attempt int32) *doorstepv1.Draw {
-	return &doorstepv1.Draw{
-		Attempt: attempt, Host: route.Host, Path: route.PathPrefix, Policy: e.Policy, Service: e.Service, Prompts: e.Prompts, Samples: e.Samples, MaxTokens: e.MaxTokens,
-		MinVersion: max(newest-e.StalenessBound, e.MinVersion, 1),
+func NewDraw(e *doorstepv1.Experiment, routes DrawRoutes, newest int64, attempt int32) *doorstepv1.Draw {
+	draw := &doorstepv1.Draw{
+		Attempt: attempt, Host: routes.Batch.Host, Path: routes.Batch.PathPrefix, Policy: e.Policy, Service: e.Service, Prompts: e.Prompts,
+		Samples: e.Samples, MaxTokens: e.MaxTokens, MinVersion: max(newest-e.StalenessBound, e.MinVersion, 1),
+	}
+	if routes.Scoring != nil {
+		draw.Scoring, draw.ScoringHost, draw.ScoringPath = e.Scoring, routes.Scoring.Host, routes.Scoring.PathPrefix
 	}
+	return draw
 }
 
 // Describer returns the header of a request for a rollout: its model, its prompt and the
@@ -74,6 +85,11 @@
 		item := &doorstepv1.BatchItem{
 			Id: fmt.Sprintf("%s.%d", id, i), Path: fmt.Sprintf("%s%s/%d", draw.Path, id, i), Body: []byte(prompt), Tokens: int64(draw.MaxTokens),
 		}
+		if draw.Scoring != "" {
+			item.Scoring = &doorstepv1.ScoringCall{
+				Id: item.Id + ".score", Host: draw.ScoringHost, Path: fmt.Sprintf("%s%s/%d", draw.ScoringPath, id, i), Body: item.Body, SendText: true,
+			}
+		}
 		header := describe(draw.Policy, prompt, int(draw.MaxTokens))
 		for _, name := range sortedNames(header) {
 			item.Headers = append(item.Headers, &doorstepv1.Header{Name: name, Value: header.Get(name)})
@@ -113,6 +129,8 @@
 	Text      string  `json:"text"`
 	Versions  []int64 `json:"versions"`
 	Completed bool    `json:"completed"`
+	// Score is the signature of the scoring service's answer, empty where none is asked.
+	Score string `json:"score,omitempty"`
 }
 
 // Samples puts a job's results into the order of its items.
@@ -125,7 +143,7 @@
 	for slot, item := range job.Items {
 		result := byID[item.Id]
 		samples = append(samples, Sample{
-			Slot: slot, Prompt: string(item.Body), Text: result.GetMessage(), Versions: result.GetVersions(), Completed: result.GetCompleted(),
+			Slot: slot, Prompt: string(item.Body), Text: result.GetMessage(), Versions: result.GetVersions(), Completed: result.GetCompleted(), Score: result.GetScore(),
 		})
 	}
 	return samples
--- a/internal/version/experiment/steps.go
+++ b/internal/version/experiment/steps.go
@@ -56,8 +56,8 @@
 	Jobs  Jobs
 	// Configuration returns the operators' configuration.
 	Configuration func() *doorstepv1.Configuration
-	// Route returns the route that takes batch jobs for a service, nil if there is none.
-	Route func(service string) *port.Route
+	// Route returns the route of a kind that goes to a service, nil if there is none.
+	Route func(service string, kind port.RouteKind) *port.Route
 	// Targets decodes and encodes the newest version that was named for a model.
 	Targets Targets
 	// Describe returns the header of a request for a rollout.
@@ -184,12 +184,15 @@
 
 // draw fixes a new draw of a step.
 func (s *Steps) draw(ctx context.Context, e *doorstepv1.Experiment, held progress) (reply Reply, decided bool) {
-	route := s.Route(e.Service)
-	if route == nil {
+	routes := s.drawRoutes(e)
+	switch {
+	case routes.Batch == nil:
 		return Reply{Status: NotReady, Reason: fmt.Sprintf("no route takes batch jobs for service %q", e.Service)}, true
+	case e.Scoring != "" && routes.Scoring == nil:
+		return Reply{Status: NotReady, Reason: fmt.Sprintf("no route for requests that may be repeated goes to the scoring service %q", e.Scoring)}, true
 	}
 	if newest, ok := s.newest(ctx, e.Policy); ok {
-		s.fix(ctx, held, NewDraw(e, route, newest, nextAttempt(held.Draw)))
+		s.fix(ctx, held, NewDraw(e, routes, newest, nextAttempt(held.Draw)))
 	}
 	return Reply{}, false
 }
@@ -197,9 +200,22 @@
 // current reports whether an experiment has not changed what a draw is made of. A draw
 // whose route is gone would never be made.
 func (s *Steps) current(e *doorstepv1.Experiment, d *doorstepv1.Draw) bool {
-	route := s.Route(e.Service)
-	return d.Policy == e.Policy && d.Service == e.Service && d.Prompts == e.Prompts && d.Samples == e.Samples &&
-		route != nil && route.Host == d.Host && route.PathPrefix == d.Path
+	routes := s.drawRoutes(e)
+	return d.Policy == e.Policy && d.Service == e.Service && d.Prompts == e.Prompts && d.Samples == e.Samples && d.Scoring == e.Scoring &&
+		leadsTo(routes.Batch, d.Host, d.Path) && (e.Scoring == "" || leadsTo(routes.Scoring, d.ScoringHost, d.ScoringPath))
+}
+
+func leadsTo(route *port.Route, host, path string) bool {
+	return route != nil && route.Host == host && route.PathPrefix == path
+}
+
+// drawRoutes returns the routes that a draw of an experiment is made by.
+func (s *Steps) drawRoutes(e *doorstepv1.Experiment) DrawRoutes {
+	routes := DrawRoutes{Batch: s.Route(e.Service, port.RouteBatch)}
+	if e.Scoring != "" {
+		routes.Scoring = s.Route(e.Scoring, port.RouteIdempotent)
+	}
+	return routes
 }
 
 func nextAttempt(draw *doorstepv1.Draw) int32 {
--- a/internal/version/experiment/steps_test.go
+++ b/internal/version/experiment/steps_test.go
@@ -80,7 +80,11 @@
 	var results []*doorstepv1.BatchResult
 	for i := len(j.accepted[id].Items) - 1; i >= 0; i-- {
 		item := j.accepted[id].Items[i]
-		results = append(results, &doorstepv1.BatchResult{Id: item.Id, Completed: true, Message: "text of " + item.Id, Versions: []int64{j.version()}})
+		result := &doorstepv1.BatchResult{Id: item.Id, Completed: true, Message: "text of " + item.Id, Versions: []int64{j.version()}}
+		if item.Scoring != nil {
+			result.Score = "score of " + item.Scoring.Id
+		}
+		results = append(results, result)
 	}
 	return results
 }
@@ -107,7 +111,7 @@
 	b.Steps = &Steps{
 		Store: store{model.NewRecords(time.Now(), model.RecordsOptions{})}, Jobs: b.jobs, Targets: targets{},
 		Configuration: func() *doorstepv1.Configuration { return b.held },
-		Route:         func(string) *port.Route { return &port.Route{Name: "r", Host: "h", PathPrefix: "/p/"} },
+		Route:         func(string, port.RouteKind) *port.Route { return &port.Route{Name: "r", Host: "h", PathPrefix: "/p/"} },
 		Describe: func(model, prompt string, maxTokens int) http.Header {
 			return http.Header{"Model": {model}, "Prompt": {prompt}, "Most": {fmt.Sprint(maxTokens)}}
 		},
@@ -166,6 +170,33 @@
 	})
 }
 
+func TestScoredSamples(t *testing.T) {
+	convey.Convey("An experiment with a scoring service", t, func() {
+		b := newBench(t)
+		b.held.Experiments[0].Scoring = "judge"
+		first := b.pull(1)
+		convey.Convey("delivers each sample with its own score", func() {
+			convey.So(first.Status, convey.ShouldEqual, Done)
+			for slot, sample := range first.Samples {
+				convey.So(sample.Score, convey.ShouldEqual, fmt.Sprintf("score of %s.%d.score", Step{"e", "a", 1}.JobID(0), slot))
+			}
+		})
+		convey.Convey("tells the service the text, by its own route", func() {
+			for _, item := range b.jobs.accepted[Step{"e", "a", 1}.JobID(0)].Items {
+				convey.So(item.Scoring.SendText, convey.ShouldBeTrue)
+				convey.So(item.Scoring.Host, convey.ShouldEqual, "h")
+			}
+		})
+		convey.Convey("that loses the service draws the next step without scores", func() {
+			b.acknowledge(1)
+			b.held.Experiments[0].Scoring = ""
+			for _, sample := range b.pull(2).Samples {
+				convey.So(sample.Score, convey.ShouldBeEmpty)
+			}
+		})
+	})
+}
+
 func TestRacingPullsGetTheSameSamples(t *testing.T) {
 	b := newBench(t)
 	replies := make([]Reply, 8)
@@ -250,7 +281,16 @@
 		{"paused", func(b *bench) { b.held.Experiments[0].State = doorstepv1.ExperimentState_EXPERIMENT_STATE_PAUSED }, NotReady},
 		{"stopped", func(b *bench) { b.held.Experiments[0].State = doorstepv1.ExperimentState_EXPERIMENT_STATE_STOPPED }, Refused},
 		{"no prompts", func(b *bench) { b.held.Experiments[0].Prompts = "none" }, NotReady},
-		{"no route", func(b *bench) { b.Route = func(string) *port.Route { return nil } }, NotReady},
+		{"no route", func(b *bench) { b.Route = func(string, port.RouteKind) *port.Route { return nil } }, NotReady},
+		{"no route to the scoring service", func(b *bench) {
+			b.held.Experiments[0].Scoring = "judge"
+			b.Route = func(_ string, kind port.RouteKind) *port.Route {
+				if kind == port.RouteBatch {
+					return &port.Route{Name: "r", Host: "h", PathPrefix: "/p/"}
+				}
+				return nil
+			}
+		}, NotReady},
 		{"min_version", func(b *bench) { b.held.Experiments[0].MinVersion = 5 }, NotReady},
 	} {
 		b := newBench(t)
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -48,12 +48,12 @@
 	return service, ok
 }
 
-// BatchRoute returns the route that takes batch jobs for a service, nil if there is none.
-func (t *Table) BatchRoute(service string) *port.Route {
+// RouteTo returns the route of a kind that goes to a service alone, nil if there is none.
+func (t *Table) RouteTo(service string, kind port.RouteKind) *port.Route {
 	var found *port.Route
 	for _, list := range t.byHost {
 		for _, route := range list {
-			if route.Kind != port.RouteBatch || len(route.Backends) != 1 || route.Backends[0].Service != service {
+			if route.Kind != kind || len(route.Backends) != 1 || route.Backends[0].Service != service {
 				continue
 			}
 			if found == nil || route.Name < found.Name {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,14 +41,14 @@
 # it, and publishes a version.
 doorstep() { "$bin/doorstep" --store 127.0.0.1:$base --operator demo "$@"; }
 doorstep prompts put stories "$(dirname "$0")/../prompts/narratives.txt"
-doorstep exec 'create experiment screen with policy narrator service generator prompts stories trainers houses samples 16 staleness 2 max_tokens 64'
+doorstep exec 'create experiment screen with policy narrator service generator prompts stories trainers houses samples 16 staleness 2 max_tokens 64 scoring scorer'
 step=/v1/experiments/screen/trainers/houses/steps/1
 # request PORT METHOD PATH [BODY] writes an answer's body and fails unless it is a success.
 request() { "$bin/doorstep-standin" request --address "127.0.0.1:$1" --method "$2" --path "$3" --body "${4:-}"; }
 until request $((base + 2)) GET "$step?wait=5s" >"$run/first.json" 2>/dev/null; do sleep 0.1; done
 request $((base + 3)) GET "$step?wait=5s" >"$run/second.json"
 cmp "$run/first.json" "$run/second.json"
-echo "step 1: $(grep -o '"slot"' "$run/first.json" | wc -l) samples, the same at two nodes"
+echo "step 1: $(grep -o '"slot"' "$run/first.json" | wc -l) samples, $(grep -o '"score"' "$run/first.json" | wc -l) of them scored, the same at two nodes"
 request $((base + 2)) POST "$step/acknowledgement"
 request $((base + 3)) POST /v1/experiments/screen/trainers/houses/versions '{"version":4}'
 sed 's/NAME/screen/g; s/POLICY/narrator/g; s/SERVICE/generator/g; s/PROMPTS/stories/g; s/REPLICA/model-1/g; s/NODE/node-1/g; s/ZONE/zone-a/g' \
