--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # doorstep: build, demo, tests and checks. See README.md.
 BIN := bin
-PROGRAMS := doorstepd doorstep doorstep-standin doorstep-sim
+PROGRAMS := doorstepd doorstep doorstep-standin doorstep-sim doorstep-compare
 
 .PHONY: build demo test check generate clean
 
