Results of a step's last items are held back where its trainer waits for every group

Now, in the last quarter of a job's time and with a quarter of its items left, results are listed together with the last one. Their texts and scores are kept in the store meanwhile, so that a new owner lists them.

--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -49,6 +49,25 @@
 	scoring   map[string]*scoringRecord
 }
 
+// wholeGroups counts the groups of which every item was read.
+func (k *jobRecord) wholeGroups() int {
+	missing := map[string]int{}
+	for _, one := range k.content.Items {
+		if _, read := k.byItem[one.Id]; read {
+			missing[one.Group] += 0
+		} else {
+			missing[one.Group]++
+		}
+	}
+	whole := 0
+	for _, items := range missing {
+		if items == 0 {
+			whole++
+		}
+	}
+	return whole
+}
+
 // orderRecord is the last order that a replica got.
 type orderRecord struct {
 	holder string
@@ -88,23 +107,36 @@
 	return known
 }
 
+// arrival is a request of an item's that reaches a replica.
+type arrival struct {
+	id, replica string
+	from        *node
+	// drainedAt is when the replica said that it leaves.
+	drainedAt time.Time
+}
+
+// reached checks an arrival that belongs to a job.
+func (c *checker) reached(w *World, known *jobRecord, a arrival) {
+	if !known.maybe && known.pending == 0 {
+		c.violate(w, "refusals-true", "%s runs though its job was refused everywhere", a.id)
+	}
+	healthy := a.from.healthy(w.Now)
+	if !known.endedAt.IsZero() && healthy && w.Now.Sub(known.endedAt) > cancelWithin {
+		c.violate(w, "ends-respected", "%s runs %s after its job's end", a.id, w.Now.Sub(known.endedAt))
+	}
+	if !a.drainedAt.IsZero() && healthy && w.Now.Sub(a.drainedAt) > drainWithin {
+		c.violate(w, "drains-respected", "%s runs at %s, which leaves since %s", a.id, a.replica, w.Now.Sub(a.drainedAt))
+	}
+}
+
 // arrived checks a run that reaches a replica.
 func (c *checker) arrived(w *World, one *run) {
 	known := c.itemJobs[one.task.Item]
-	switch {
-	case known == nil:
+	if known == nil {
 		c.violate(w, "nothing-unasked", "%s runs and belongs to no job", one.task.Item)
 		return
-	case !known.maybe && known.pending == 0:
-		c.violate(w, "refusals-true", "%s runs though its job was refused everywhere", one.task.Item)
-	}
-	healthy := one.node.healthy(w.Now)
-	if !known.endedAt.IsZero() && healthy && w.Now.Sub(known.endedAt) > cancelWithin {
-		c.violate(w, "ends-respected", "%s runs %s after its job's end", one.task.Item, w.Now.Sub(known.endedAt))
-	}
-	if r := one.replica; !r.drainedAt.IsZero() && healthy && w.Now.Sub(r.drainedAt) > drainWithin {
-		c.violate(w, "drains-respected", "%s runs at %s, which leaves since %s", one.task.Item, r.ID, w.Now.Sub(r.drainedAt))
 	}
+	c.reached(w, known, arrival{id: one.task.Item, replica: one.replica.ID, from: one.node, drainedAt: one.replica.drainedAt})
 	known.starts[one.task.Item]++
 	failing := strings.HasPrefix(one.task.Item, failingItem) || strings.HasPrefix(one.task.Item, impossibleItem)
 	if failing && known.starts[one.task.Item] > 3*maxAttempts {
--- a/internal/simulation/clustersim/check_scoring.go
+++ b/internal/simulation/clustersim/check_scoring.go
@@ -39,20 +39,11 @@
 // scoringArrived checks a scoring call that reaches a scorer.
 func (c *checker) scoringArrived(w *World, one *scoringCall, s *scorer) {
 	known, item := c.jobOfCall(one.task.Request)
-	switch {
-	case known == nil:
+	if known == nil {
 		c.violate(w, "nothing-unasked", "%s runs and belongs to no item", one.task.Request)
 		return
-	case !known.maybe && known.pending == 0:
-		c.violate(w, "refusals-true", "%s runs though its job was refused everywhere", one.task.Request)
-	}
-	healthy := one.node.healthy(w.Now)
-	if !known.endedAt.IsZero() && healthy && w.Now.Sub(known.endedAt) > cancelWithin {
-		c.violate(w, "ends-respected", "%s runs %s after its job's end", one.task.Request, w.Now.Sub(known.endedAt))
-	}
-	if !s.drainedAt.IsZero() && healthy && w.Now.Sub(s.drainedAt) > drainWithin {
-		c.violate(w, "drains-respected", "%s runs at %s, which leaves since %s", one.task.Request, s.id, w.Now.Sub(s.drainedAt))
 	}
+	c.reached(w, known, arrival{id: one.task.Request, replica: s.id, from: one.node, drainedAt: s.drainedAt})
 	scoring := known.scoringOf(item)
 	scoring.calls++
 	if strings.HasPrefix(item, unscorableItem) && scoring.calls > 3*maxAttempts {
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -17,6 +17,9 @@
 	resultsWithin = 7 * time.Second
 	readEvery     = 400 * time.Millisecond
 	itemsOfJob    = 24
+	itemsOfGroup  = 4
+	// desiredGroups is how many whole groups a trainer waits for.
+	desiredGroups = 5
 	// unscoredOneIn is the part of the jobs, one in so many, without scoring calls.
 	unscoredOneIn = 4
 	// triesOfJob bounds the nodes that a job is handed to.
@@ -51,7 +54,7 @@
 	for _, name := range models {
 		o.table.Routes = append(o.table.Routes, port.Route{
 			Name: name, Host: host, PathPrefix: "/" + name + "/", Kind: port.RouteBatch, MaxAttempts: maxAttempts, MaxQueue: maxQueue,
-			Backends: []port.Backend{{Service: generatorName, Weight: 1}}, SingleVersion: name == singleVersionModel,
+			ResultDeadline: resultsWithin, Backends: []port.Backend{{Service: generatorName, Weight: 1}}, SingleVersion: name == singleVersionModel,
 		})
 	}
 	o.table.Routes = append(o.table.Routes, port.Route{
@@ -112,7 +115,7 @@
 	target := max(w.operator.targets[t.model], 1)
 	job := &doorstepv1.BatchJob{
 		Id: fmt.Sprintf("job-%d", t.steps), Route: t.model, Host: host, Path: "/" + t.model + "/x",
-		Model: t.model, MinVersion: max(target-1, 1),
+		Model: t.model, MinVersion: max(target-1, 1), DesiredGroups: desiredGroups,
 	}
 	scored := w.random.IntN(unscoredOneIn) != 0
 	for i := range itemsOfJob {
@@ -127,7 +130,7 @@
 		}
 		one := &doorstepv1.BatchItem{
 			Id: id, Path: "/" + t.model + "/y", Headers: []*doorstepv1.Header{{Name: "model", Value: t.model}},
-			Body: make([]byte, 100), Group: fmt.Sprintf("group-%d", i/4),
+			Body: make([]byte, 100), Group: fmt.Sprintf("group-%d", i/itemsOfGroup),
 		}
 		if scored {
 			one.Scoring = &doorstepv1.ScoringCall{Id: id + scoringSuffix, Host: host, Path: scoringPath}
@@ -190,7 +193,7 @@
 func (t *trainer) read(known *jobRecord, until time.Time) {
 	w := t.world
 	w.readJob(known, w.random.IntN(max(known.seen, 1)))
-	if known.seen >= itemsOfJob*9/10 || w.Now.After(until) {
+	if known.wholeGroups() >= desiredGroups || w.Now.After(until) {
 		t.end(known)
 		return
 	}
--- /dev/null
+++ b/internal/version/batch/holdback_test.go
@@ -0,0 +1,119 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// groupedJob has groups of four items, of which the client waits for some.
+func groupedJob(groups, desired int) *doorstepv1.BatchJob {
+	job := newJob("j", 4*groups)
+	job.DesiredGroups = int32(desired)
+	for i, one := range job.Items {
+		one.Group = string(rune('a' + i/4))
+	}
+	return job
+}
+
+func TestHoldback(t *testing.T) {
+	const due = 8 * time.Second
+	for _, c := range []struct {
+		name string
+		// at is the job's age when the items before the last ones are finished, left how
+		// many are not.
+		at   time.Duration
+		left []int
+		// desired is how many of the four groups the client waits for.
+		desired int
+		// after is how long it takes until the results are looked for.
+		after  time.Duration
+		listed int
+	}{
+		{"early: listed as they come", 2 * time.Second, []int{0}, 4, 500 * time.Millisecond, 15},
+		{"late: the last are waited for", 6500 * time.Millisecond, []int{0}, 4, 500 * time.Millisecond, 0},
+		{"late, but many are missing", 6500 * time.Millisecond, []int{0, 1, 2, 3, 4}, 4, 500 * time.Millisecond, 11},
+		{"late, but the client does not wait for every group", 6500 * time.Millisecond, []int{0}, 3, 500 * time.Millisecond, 15},
+		{"the results are due", 6500 * time.Millisecond, []int{0}, 4, 1600 * time.Millisecond, 15},
+		{"no groups are waited for", 6500 * time.Millisecond, []int{0}, 0, 500 * time.Millisecond, 15},
+		{"all are finished", 6500 * time.Millisecond, nil, 4, 500 * time.Millisecond, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench("a", newStore())
+			b.route.ResultDeadline = due
+			b.accept(groupedJob(4, c.desired))
+			b.pass(200 * time.Millisecond)
+			b.now = epoch.Add(c.at)
+			missing := map[string]bool{}
+			for _, index := range c.left {
+				missing[b.jobs.owned["j"].job.Items[index].Id] = true
+			}
+			for _, run := range b.takeRuns() {
+				if !missing[run.Item] {
+					b.finish(run, task.RunCompleted, 2, 10)
+				}
+			}
+			b.pass(c.after)
+			if got := len(b.results(t, "j")); got != c.listed {
+				t.Errorf("%d results are listed, should be %d", got, c.listed)
+			}
+		})
+	}
+}
+
+// TestHeldBackResultsComeTogether: the last item brings all that was held back in one write.
+func TestHeldBackResultsComeTogether(t *testing.T) {
+	b := newBench("a", newStore())
+	b.route.ResultDeadline = 8 * time.Second
+	b.accept(groupedJob(4, 4))
+	b.pass(200 * time.Millisecond)
+	b.now = epoch.Add(6500 * time.Millisecond)
+	runs := b.takeRuns()
+	for _, run := range runs[1:] {
+		b.finish(run, task.RunCompleted, 2, 10)
+	}
+	b.pass(300 * time.Millisecond)
+	b.finish(runs[0], task.RunCompleted, 2, 10)
+	if got := len(b.results(t, "j")); got != 16 {
+		t.Errorf("%d results are listed with the last", got)
+	}
+}
+
+// TestHeldBackResultsOutliveTheirOwner: the next owner has the texts and lists them.
+func TestHeldBackResultsOutliveTheirOwner(t *testing.T) {
+	owner := newBench("a", newStore())
+	owner.route.ResultDeadline = 8 * time.Second
+	job := groupedJob(4, 4)
+	for _, one := range job.Items {
+		one.Scoring = &doorstepv1.ScoringCall{Id: "score-" + one.Id, Host: "h", Path: scoringPath}
+	}
+	owner.accept(job)
+	owner.pass(200 * time.Millisecond)
+	owner.now = epoch.Add(6500 * time.Millisecond)
+	for _, run := range owner.takeRuns()[1:] {
+		owner.finish(run, task.RunCompleted, 2, 10)
+	}
+	owner.pass(25 * time.Millisecond)
+	for _, call := range owner.takeCalls() {
+		owner.answerCall(call, scoreGiven)
+	}
+	owner.pass(keepEvery + 100*time.Millisecond)
+	if got := len(owner.results(t, "j")); got != 0 {
+		t.Fatalf("%d results are listed, should be held back", got)
+	}
+	other := newBench("b", owner.store)
+	other.route.ResultDeadline = 8 * time.Second
+	other.now = owner.now
+	share(other)
+	other.pass(2 * time.Second)
+	runs, calls := other.takeRuns(), other.takeCalls()
+	if len(runs) != 1 || len(calls) != 0 {
+		t.Errorf("%d runs and %d scoring calls: one item is missing", len(runs), len(calls))
+	}
+	got := other.results(t, "j")
+	if len(got) != 15 || got[0].Score != "signed" || got[0].Message == "" {
+		t.Errorf("%d results are listed", len(got))
+	}
+}
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -67,15 +67,18 @@
 	// generation counts the texts that were begun; of the present one so many events
 	// are kept in the store, in so many parts.
 	generation, keptEvents, keptParts int
-	// keptWhole is set once the store holds the whole text and knows it for whole.
-	keptWhole bool
+	// keptWhole is set once the store holds the whole text and knows it for whole,
+	// keptScore once it holds its score too.
+	keptWhole, keptScore bool
 	// scoring is the present try to have the whole text scored, nil between tries;
 	// scoringTries counts the attempts of all tries.
 	scoring      *scoringTry
 	scoringTries int
 	// unrouted is set while the configuration has no route for the scoring call.
-	unrouted   bool
-	result     *doorstepv1.BatchResult
+	unrouted bool
+	// completed tells of a finished item that it has a whole text, and score its score.
+	completed  bool
+	score      string
 	finishedAt time.Time
 	// waitsSince is when it began to wait for a replica.
 	waitsSince time.Time
@@ -109,6 +112,7 @@
 		o.items[index].long = hints[index] > 0
 	}
 	o.order = order
+	o.groups = groupsOf(o.job)
 }
 
 func itemHeader(item *doorstepv1.BatchItem) http.Header {
@@ -152,7 +156,6 @@
 	one.events = nil
 	one.state = itemFinished
 	one.finishedAt = now
-	one.result = &doorstepv1.BatchResult{Id: o.job.Items[index].Id}
 }
 
 func (o *ownedJob) startItems(now time.Time) {
@@ -386,18 +389,26 @@
 	o.finish(now, index, "")
 }
 
-// finish makes the result of an item whose text is whole and has its score, if it is to
-// have one.
+// finish ends the work on an item whose text is whole and has its score, if it is to have
+// one.
 func (o *ownedJob) finish(now time.Time, index int, score string) {
 	one := &o.items[index]
-	one.result = &doorstepv1.BatchResult{
-		Id: o.job.Items[index].Id, Completed: true, Message: textOf(one.events), Versions: versionsOf(one.events), Score: score,
-	}
-	one.events = nil
+	one.completed = true
+	one.score = score
 	one.state = itemFinished
 	one.finishedAt = now
 }
 
+// result returns what is listed of a finished item.
+func (o *ownedJob) result(index int) *doorstepv1.BatchResult {
+	one := &o.items[index]
+	result := &doorstepv1.BatchResult{Id: o.job.Items[index].Id, Completed: one.completed}
+	if one.completed {
+		result.Message, result.Versions, result.Score = textOf(one.events), versionsOf(one.events), one.score
+	}
+	return result
+}
+
 // textOf returns the payloads of a text's events, one a line.
 func textOf(events []port.ReplicaEvent) string {
 	lines := make([]string, len(events))
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -16,7 +16,7 @@
 	gatherFor = 25 * time.Millisecond
 	lastItems = 12
 	// listAtOnce bounds the results of one transaction.
-	listAtOnce = 60
+	listAtOnce = 90
 )
 
 // write lists finished items, or shows that the owner lives.
@@ -115,6 +115,9 @@
 func (o *ownedJob) readyItems(now time.Time) []int {
 	var ready []int
 	due := o.releasing || int(o.head.Total-o.head.Listed) <= lastItems
+	if !o.releasing && o.holdsBack(now) {
+		return nil
+	}
 	for i := range o.items {
 		if o.items[i].state != itemFinished {
 			continue
@@ -129,7 +132,7 @@
 }
 
 func (o *ownedJob) resultRecords(position, index int) []port.Record {
-	encoded, err := proto.Marshal(o.items[index].result)
+	encoded, err := proto.Marshal(o.result(index))
 	if err != nil {
 		panic("a result must encode: " + err.Error())
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -54,6 +54,8 @@
 	releasing, closing, saved bool
 	// handOver is set once the head may name no owner.
 	handOver bool
+	// groups counts the groups of items that share a prompt.
+	groups int
 	// keeping is set while texts are on their way to the store.
 	keeping bool
 	keptAt  time.Time
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -36,7 +36,7 @@
 // kept is a part that is on its way to the store.
 type kept struct {
 	index, generation, until int
-	whole                    bool
+	whole, score             bool
 }
 
 // keepTexts writes what was made of texts since they were kept last.
@@ -55,7 +55,7 @@
 			break
 		}
 		parts = append(parts, kept{
-			index: i, generation: one.generation, until: len(one.events) + len(one.progress), whole: one.state == itemScoring,
+			index: i, generation: one.generation, until: len(one.events) + len(one.progress), whole: one.whole(), score: one.score != "",
 		})
 		transaction.Puts = append(transaction.Puts, record)
 	}
@@ -71,24 +71,27 @@
 	})
 }
 
-// mayKeep reports whether an item has something to keep: enough new events, or a text that
-// waits for its score and is not known for whole.
+// mayKeep reports whether an item has something to keep: enough new events, or a whole text
+// that is not listed yet, and its score.
 func (o *ownedJob) mayKeep(index int) bool {
 	one := &o.items[index]
 	switch one.state {
 	case itemWaiting, itemRunning:
 		return len(one.events)+len(one.progress)-one.keptEvents >= keptEvents
-	case itemScoring:
-		return !one.keptWhole
-	case itemFinished, itemListed:
+	case itemScoring, itemFinished:
+		return one.whole() && (!one.keptWhole || one.score != "" && !one.keptScore)
+	case itemListed:
 	}
 	return false
 }
 
+// whole reports whether the item's text is at hand as a whole.
+func (i *item) whole() bool { return i.state == itemScoring || i.state == itemFinished && i.completed }
+
 // textPart encodes the events of a text that were not kept yet.
 func (o *ownedJob) textPart(index int) port.Record {
 	one := &o.items[index]
-	part := &doorstepv1.KeptText{Whole: one.state == itemScoring}
+	part := &doorstepv1.KeptText{Whole: one.whole(), Score: one.score}
 	for i := one.keptEvents; i < len(one.events)+len(one.progress); i++ {
 		made := one.eventAt(i)
 		part.Events = append(part.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
@@ -113,7 +116,7 @@
 		if one.generation == part.generation {
 			one.keptEvents = part.until
 			one.keptParts++
-			one.keptWhole = part.whole
+			one.keptWhole, one.keptScore = part.whole, part.score
 		}
 	}
 }
@@ -123,7 +126,7 @@
 	i.events, i.progress = nil, nil
 	i.generation++
 	i.keptEvents, i.keptParts = 0, 0
-	i.keptWhole = false
+	i.keptWhole, i.keptScore = false, false
 }
 
 // readTexts looks for what former owners kept.
@@ -177,8 +180,7 @@
 // adoptText takes a text whose events follow one another from the first.
 func (o *ownedJob) adoptText(now time.Time, index int, text *doorstepv1.KeptText) {
 	one := &o.items[index]
-	whole := text.Whole && o.job.Items[index].Scoring != nil
-	if one.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(one.events) || len(text.Events) == len(one.events) && !whole {
+	if one.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(one.events) || len(text.Events) == len(one.events) && !text.Whole {
 		return
 	}
 	var events []port.ReplicaEvent
@@ -191,11 +193,23 @@
 	one.events = events
 	o.checkVersions(index)
 	one.long = one.long || len(one.events) >= shortEvents
-	if whole && len(one.events) > 0 {
-		// A later life of this node writes under a prefix of its own, so the text is kept.
+	if text.Whole && len(one.events) > 0 {
+		o.adoptWhole(now, index, text.Score)
+	}
+	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events), "whole", one.whole(),
+		"scored", one.score != "")
+}
+
+// adoptWhole goes on with a whole text that a former owner made: it is scored, if that is
+// still to be done, and listed. Its parts in the store stay, so it is kept already.
+func (o *ownedJob) adoptWhole(now time.Time, index int, score string) {
+	one := &o.items[index]
+	one.keptWhole = true
+	one.wholeAt = now
+	if o.job.Items[index].Scoring != nil && score == "" {
 		one.state = itemScoring
-		one.keptWhole = true
-		one.wholeAt = now
+		return
 	}
-	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events), "whole", one.state == itemScoring)
+	one.keptScore = score != ""
+	o.finish(now, index, score)
 }
