A replica that turned slow is noticed sooner, and however slow it is

And the pace was the mean over the whole run, which hides a replica that turns slow on the way.

Tried with it and taken back: up to six moves away from replicas in trouble, and a slow pace believed at once.

--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -62,7 +62,7 @@
 	reading := runReading{events: a.protocol.NewEventReader(answer), version: a.protocol.Version(answer.Header), last: t.After}
 	for {
 		one, err := reading.next()
-		result.Pace = reading.pace()
+		result.Pace = reading.rhythm.pace()
 		if errors.Is(err, io.EOF) {
 			return result
 		}
@@ -75,7 +75,7 @@
 			result.FirstEvent = time.Since(startedAt)
 		}
 		result.Events = append(result.Events, one)
-		if reading.due() && a.tooSlow(t, result.Events, result.Pace) {
+		if reading.told && a.tooSlow(t, result.Events, result.Pace) {
 			result.Outcome = task.RunSlow
 			return result
 		}
@@ -88,31 +88,14 @@
 	return stop
 }
 
-const (
-	// pauseGap is the time between two events above which it is no matter of pace.
-	pauseGap = 200 * time.Millisecond
-	// steadyGaps is how many times between events make a pace.
-	steadyGaps = 8
-)
-
 // runReading reads the events of a run: each must follow the one before.
 type runReading struct {
 	events  port.EventReader
 	version int64
 	last    int64
-	lastAt  time.Time
-	gaps    int
-	total   time.Duration
-	toldAt  int
-}
-
-// due reports whether the pace is to be told: every few events.
-func (r *runReading) due() bool {
-	if r.gaps-r.toldAt < steadyGaps {
-		return false
-	}
-	r.toldAt = r.gaps
-	return true
+	rhythm  rhythm
+	// told says that the last event made the pace known anew.
+	told bool
 }
 
 // next returns the next event with the version that made it.
@@ -124,27 +107,14 @@
 	if one.ID != r.last+1 {
 		return one, errEventMissing
 	}
-	now := time.Now()
-	if gap := now.Sub(r.lastAt); !r.lastAt.IsZero() && gap < pauseGap {
-		r.gaps++
-		r.total += gap
-	}
+	r.told = r.rhythm.note(time.Now())
 	r.last = one.ID
-	r.lastAt = now
 	if one.Version > 0 {
 		r.version = one.Version
 	}
 	return port.ReplicaEvent{ID: one.ID, Data: one.Data, Version: r.version}, nil
 }
 
-// pace returns the mean time between two events, 0 while there are too few.
-func (r *runReading) pace() time.Duration {
-	if r.gaps < steadyGaps {
-		return 0
-	}
-	return r.total / time.Duration(r.gaps)
-}
-
 func runOutcome(status int, notExecuted bool) task.RunOutcome {
 	switch {
 	case status == http.StatusOK:
