Replicas whose records ran out while the store was away are kept for two seconds

Cause: records of replicas run out while the store is away. At its return a node found the list empty and had no replica until they were listed anew.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -96,6 +96,7 @@
 	shared     *recordwatch.Watch
 	operators  *doorstepv1.Configuration
 	drained    bool
+	lapses     lapses
 	status     statusWriter
 	clock      storeClock
 	latency    callLatency
@@ -108,6 +109,7 @@
 func New(now time.Time, options Options) *Node {
 	n := &Node{
 		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clock: storeClock{base: now},
+		lapses: lapses{kept: map[string]bool{}},
 		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
 	}
 	n.splitter = routes.NewSplitter(n.random.Float64())
@@ -151,6 +153,7 @@
 		if n.listsReplicas(table) {
 			options.Wait, options.Reread = usualWait, replicaReread
 			options.Gather, options.MostGather = replicaGather, mostReplicaGather
+			options.OnHealth = n.onReplicaHealth
 		}
 		n.watches = append(n.watches, recordwatch.New(options))
 	}
@@ -231,6 +234,7 @@
 	for _, watch := range n.watches {
 		watch.Tick(now)
 	}
+	n.tickLapses(now)
 	n.lease.Tick(now)
 	n.rollout.Tick(now)
 	n.jobs.Tick(now)
@@ -306,16 +310,16 @@
 	listed := map[string]bool{}
 	for _, record := range change.Replicas {
 		listed[record.ID] = true
-		put := n.endpoints.Put(record)
-		put.Endpoint.Held = n.holds(put.Endpoint)
-		n.noteReplica(put)
+		n.putReplica(n.endpoints.Put(record))
 	}
 	for _, id := range change.Gone {
-		n.noteReplica(n.endpoints.Remove(id))
+		n.removeReplica(now, id)
 	}
 	if whole && n.listsReplicas(table) {
-		for _, gone := range n.endpoints.Retain(listed) {
-			n.noteReplica(gone)
+		for _, e := range n.endpoints.All() {
+			if !listed[e.ID] {
+				n.removeReplica(now, e.ID)
+			}
 		}
 	}
 }
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -265,22 +265,6 @@
 	return Change{Endpoint: known, Removed: true}
 }
 
-// Retain drops all replicas that are not in a full listing.
-func (r *Registry) Retain(listed map[string]bool) []Change {
-	var ids []string
-	for id := range r.byID {
-		if !listed[id] {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	var changes []Change
-	for _, id := range ids {
-		changes = append(changes, r.Remove(id))
-	}
-	return changes
-}
-
 func insert(list []*Endpoint, one *Endpoint) []*Endpoint {
 	at, _ := slices.BinarySearchFunc(list, one, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return slices.Insert(list, at, one)
--- a/internal/process/endpoint/endpoint_test.go
+++ b/internal/process/endpoint/endpoint_test.go
@@ -119,7 +119,7 @@
 		t.Errorf("%+v: a beat from before a load doesn't take the version back", change)
 	}
 	r.Put(usable("b").ReplicaRecord)
-	if gone := r.Retain(map[string]bool{"b": true}); len(gone) != 1 || !gone[0].Removed || len(r.Service("s")) != 1 {
+	if gone := r.Remove("a"); !gone.Removed || len(r.Service("s")) != 1 {
 		t.Errorf("%+v", gone)
 	}
 }
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -35,6 +35,7 @@
 	ReplicaAdded      = 710
 	ReplicaRemoved    = 711
 	ReplicaEjected    = 712
+	ReplicaLapsed     = 713
 	VersionNamed      = 720
 	VersionOrdered    = 721
 	VersionLoaded     = 722
@@ -90,6 +91,7 @@
 	{ReplicaAdded, Info, "replica added", "A replica stands in the list and gets work."},
 	{ReplicaRemoved, Info, "replica removed", "A replica left the list."},
 	{ReplicaEjected, Warn, "replica ejected", "A replica failed repeatedly and gets no work for a while."},
+	{ReplicaLapsed, Info, "replica's record ran out", "A replica's record went while the record store was away; it is kept until it is missing two seconds after the store's return."},
 	{VersionNamed, Info, "version named", "A trainer named a newer version of a model."},
 	{VersionOrdered, Info, "version ordered", "The lease's holder ordered a replica to load a version; status is its answer."},
 	{VersionLoaded, Info, "version loaded", "A replica reports the version that it was ordered to load."},
