Late writes of texts' parts don't cut whole texts; a lease is released once no order is under way

- An older write of a text's part took effect behind the newer one, and a part behind it said that the text is whole: a result had 10 events of 21.
The mark now says how many events the whole text has; a shorter one goes on where it stands.
The record tells of the resignation once no order can be under way.

--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -91,7 +91,10 @@
 // textPart encodes the events of a text that were not kept yet.
 func (o *ownedJob) textPart(index int) port.Record {
 	one := &o.items[index]
-	part := &doorstepv1.KeptText{Whole: one.whole(), Score: one.score}
+	part := &doorstepv1.KeptText{Score: one.score}
+	if one.whole() {
+		part.WholeEvents = int64(len(one.events))
+	}
 	for i := one.keptEvents; i < len(one.events)+len(one.progress); i++ {
 		made := one.eventAt(i)
 		part.Events = append(part.Events, &doorstepv1.KeptEvent{Id: made.ID, Data: made.Data, Version: made.Version})
@@ -180,7 +183,8 @@
 // adoptText takes a text whose events follow one another from the first.
 func (o *ownedJob) adoptText(now time.Time, index int, text *doorstepv1.KeptText) {
 	one := &o.items[index]
-	if one.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(one.events) || len(text.Events) == len(one.events) && !text.Whole {
+	whole := int64(len(text.Events)) == text.WholeEvents
+	if one.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(one.events) || len(text.Events) == len(one.events) && !whole {
 		return
 	}
 	var events []port.ReplicaEvent
@@ -193,7 +197,7 @@
 	one.events = events
 	o.checkVersions(index)
 	one.long = one.long || len(one.events) >= shortEvents
-	if text.Whole && len(one.events) > 0 {
+	if whole && len(one.events) > 0 {
 		o.adoptWhole(now, index, text.Score)
 	}
 	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(one.events), "whole", one.whole(),
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -29,6 +29,8 @@
 	takeoverSpread = 700 * time.Millisecond
 	// pauseMargin is added to the pause between two holders.
 	pauseMargin = 300 * time.Millisecond
+	// actFor is the longest that an act may be under way.
+	actFor = 900 * time.Millisecond
 )
 
 // Options configure a Lease.
@@ -308,10 +310,11 @@
 // retryPause is the wait after a call that brought nothing.
 const retryPause = 100 * time.Millisecond
 
-// Resign gives the lease up and never takes it again.
+// Resign gives the lease up and never takes it again. The record tells of it once no act is
+// under way any more: the pause of the next holder counts from there.
 func (l *Lease) Resign(now time.Time) {
 	l.resigned = true
-	if !l.held || l.busy {
+	if !l.held || l.busy || now.Sub(l.lastAct) < actFor {
 		return
 	}
 	l.held = false
