doorstep-compare ablate: mechanisms switched off one by one, with runs that go on where they were

'trees' is what the command did before. Tests: a stand-in of the bench over a repository with two patches; a second run plays only what is new; a line that broke off spoils no other.

--- a/cmd/doorstep-compare/main.go
+++ b/cmd/doorstep-compare/main.go
@@ -1,4 +1,4 @@
-// Command doorstep-compare plays two trees of this repository against each other on the
+// Command doorstep-compare plays trees of this repository against each other on the
 // users' bench.
 package main
 
--- /dev/null
+++ b/internal/command/compare/ablate_test.go
@@ -0,0 +1,137 @@
+package compare
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// reportWorth is a stand-in of the bench: it tells the worth that the tree's file holds, and
+// counts its plays.
+const reportWorth = "#!/bin/sh\nwhile [ $# -gt 0 ]; do [ \"$1\" = --report ] && file=$2; shift; done\n" +
+	"echo '{\"G\":'$(cat worth)'}' >\"$file\"\necho played >>plays\necho '3 steps asked, the last 2.5 s behind its time'\n"
+
+// newRepo returns a repository with one commit, whose worth is 0.9.
+func newRepo(t *testing.T) string {
+	t.Helper()
+	repo := t.TempDir()
+	if err := os.WriteFile(filepath.Join(repo, "worth"), []byte("0.9\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, arguments := range [][]string{
+		{"init", "--quiet"}, {"add", "worth"},
+		{"-c", "user.name=a", "-c", "user.email=a@localhost", "commit", "--quiet", "--message", "a test"},
+	} {
+		run := exec.Command("git", arguments...)
+		run.Dir = repo
+		if output, err := run.CombinedOutput(); err != nil {
+			t.Fatalf("git %v: %s", arguments, output)
+		}
+	}
+	return repo
+}
+
+func writePatch(t *testing.T, folder, name, worth string) {
+	t.Helper()
+	content := "--- a/worth\n+++ b/worth\n@@ -1 +1 @@\n-0.9\n+" + worth + "\n"
+	if err := os.WriteFile(filepath.Join(folder, name+patchEnding), []byte(content), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func countPlays(t *testing.T, scratch string) int {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(scratch, "*", "plays"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plays := 0
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		plays += strings.Count(string(content), "played")
+	}
+	return plays
+}
+
+func TestAblate(t *testing.T) {
+	bench := filepath.Join(t.TempDir(), "bench")
+	if err := os.WriteFile(bench, []byte(reportWorth), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	patches, scratch := t.TempDir(), filepath.Join(t.TempDir(), "scratch")
+	writePatch(t, patches, "hedging", "0.4")
+	writePatch(t, patches, "moves", "0.8")
+	mechanisms, err := findMechanisms(patches, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ablation := Ablation{
+		Bench: Bench{Program: bench, Why: "a test"}, Days: Days{Sites: []string{"s.toml"}, Days: []string{"quiet"}, Seeds: 2, FirstSeed: 1},
+		Repo: newRepo(t), Scratch: scratch, Mechanisms: mechanisms, Jobs: 2,
+	}
+	worths, err := ablation.Play(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var output bytes.Buffer
+	if err := WriteAblation(&output, worths); err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(output.String()), "\n")
+	if len(rows) != 3 || !strings.Contains(rows[1], "hedging") || !strings.Contains(rows[1], "+0.500 ± 0.000") || !strings.Contains(rows[2], "+0.100") {
+		t.Errorf("%s", output.String())
+	}
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	if err := PlotAblation(file, worths); err != nil {
+		t.Fatal(err)
+	}
+
+	// A second run plays only what is new.
+	ablation.Days.Seeds = 3
+	if _, err := ablation.Play(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if plays := countPlays(t, scratch); plays != 9 {
+		t.Errorf("%d plays of three trees on three seeds", plays)
+	}
+}
+
+func TestOutcomesOutliveABrokenLine(t *testing.T) {
+	scratch := t.TempDir()
+	day := Day{Site: "s", Day: "quiet", Seed: 1}
+	if err := os.WriteFile(filepath.Join(scratch, outcomesFile), []byte(`{"Tree":"a","Site":"s","Da`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		kept, err := openOutcomes(scratch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := kept.add(tree{id: "b"}, day, Outcome{Worth: 0.5}); err != nil {
+			t.Fatal(err)
+		}
+		kept.close()
+	}
+	kept, err := openOutcomes(scratch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.close()
+	if outcome, ok := kept.find(tree{id: "b"}, day); !ok || outcome.Worth != 0.5 || len(kept.known) != 1 {
+		t.Errorf("%v", kept.known)
+	}
+}
+
+func TestUnknownMechanismIsTold(t *testing.T) {
+	patches := t.TempDir()
+	writePatch(t, patches, "hedging", "0.4")
+	if _, err := findMechanisms(patches, []string{"hedging", "none"}); err == nil {
+		t.Error("a mechanism without a patch is told of")
+	}
+}
--- a/internal/command/compare/compare.go
+++ b/internal/command/compare/compare.go
@@ -1,6 +1,6 @@
-// Package compare is the command line that plays two trees of this repository, one with a
-// change and one without, on the same days and seeds of the users' bench, and tells whether
-// the change is worth something.
+// Package compare is the command line that plays trees of this repository, with a change
+// and without, on the same days and seeds of the users' bench, and tells whether the change
+// is worth something.
 package compare
 
 import (
@@ -23,46 +23,38 @@
 // New returns the command.
 func New() *cli.Command {
 	return &cli.Command{
-		Name:  "doorstep-compare",
-		Usage: "play two trees on the same days and seeds of the users' bench",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "bench", Usage: "the bench's program, as `FILE`", Required: true},
-			&cli.StringFlag{Name: "before", Usage: "the tree without the change, as `DIR`", Required: true},
-			&cli.StringFlag{Name: "after", Usage: "the tree with the change, as `DIR`", Required: true},
-			&cli.StringSliceFlag{Name: "site", Usage: "a site `FILE`; one for each site", Required: true},
-			&cli.StringSliceFlag{Name: "day", Usage: "a `DAY` of the sites; one for each", Value: []string{"quiet-1", "trouble-1", "scale-1", "trouble-2"}},
-			&cli.Uint64Flag{Name: "first-seed", Usage: "the first seed", Value: 1},
-			&cli.IntFlag{Name: "seeds", Usage: "how many seeds of each day", Value: 6},
-			&cli.IntFlag{Name: "jobs", Usage: "how many days at once", Value: 4},
-			&cli.BoolFlag{Name: "no-cpu", Usage: "charge no processor time: runs then mostly repeat"},
-			&cli.StringFlag{Name: "why", Usage: "what the runs are for, as the bench's journal tells it", Required: true},
-			&cli.StringFlag{Name: "plot", Usage: "draw the differences into a `FILE`, PNG or SVG"},
-		},
-		Action: run,
+		Name:     "doorstep-compare",
+		Usage:    "play trees of this repository on the same days and seeds of the users' bench",
+		Commands: []*cli.Command{treesCommand(), ablateCommand()},
 	}
 }
 
-func run(ctx context.Context, c *cli.Command) error {
-	if c.Int("seeds") < 1 || c.Int("jobs") < 1 {
-		return command.Fail(command.ExitUsage, fmt.Errorf("--seeds and --jobs are at least 1"))
+// playFlags are the flags of every subcommand that plays days.
+func playFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "bench", Usage: "the bench's program, as `FILE`", Required: true},
+		&cli.StringSliceFlag{Name: "site", Usage: "a site `FILE`; one for each site", Required: true},
+		&cli.StringSliceFlag{Name: "day", Usage: "a `DAY` of the sites; one for each", Value: []string{"quiet-1", "trouble-1", "scale-1", "trouble-2"}},
+		&cli.Uint64Flag{Name: "first-seed", Usage: "the first seed", Value: 1},
+		&cli.IntFlag{Name: "seeds", Usage: "how many seeds of each day", Value: 6},
+		&cli.IntFlag{Name: "jobs", Usage: "how many days at once", Value: 4},
+		&cli.BoolFlag{Name: "no-cpu", Usage: "charge no processor time: runs then mostly repeat"},
+		&cli.StringFlag{Name: "why", Usage: "what the runs are for, as the bench's journal tells it", Required: true},
 	}
-	series := Series{
-		Bench: c.String("bench"), Before: c.String("before"), After: c.String("after"), Sites: c.StringSlice("site"), Days: c.StringSlice("day"),
-		FirstSeed: c.Uint64("first-seed"), Seeds: c.Int("seeds"), Jobs: c.Int("jobs"), Why: c.String("why"), NoCPU: c.Bool("no-cpu"),
-	}
-	pairs, err := series.Play(ctx)
-	if err != nil {
-		return command.Fail(command.ExitFailed, err)
-	}
-	if err := WriteTable(c.Root().Writer, pairs); err != nil {
-		return command.Fail(command.ExitFailed, err)
-	}
-	if file := c.String("plot"); file != "" {
-		if err := Plot(file, pairs); err != nil {
-			return command.Fail(command.ExitFailed, err)
-		}
+}
+
+// benchOf returns the bench that the flags name.
+func benchOf(c *cli.Command) Bench {
+	return Bench{Program: c.String("bench"), Why: c.String("why"), NoCPU: c.Bool("no-cpu")}
+}
+
+// daysOf returns what the flags ask to be played.
+func daysOf(c *cli.Command) (Days, error) {
+	days := Days{Sites: c.StringSlice("site"), Days: c.StringSlice("day"), FirstSeed: c.Uint64("first-seed"), Seeds: c.Int("seeds")}
+	if days.Seeds < 1 || c.Int("jobs") < 1 {
+		return days, command.Fail(command.ExitUsage, fmt.Errorf("--seeds and --jobs are at least 1"))
 	}
-	return nil
+	return days, nil
 }
 
 // siteName returns the name of a site by its file.
--- a/internal/command/compare/compare_test.go
+++ b/internal/command/compare/compare_test.go
@@ -31,7 +31,7 @@
 }
 
 func pairOf(site, day string, before, after float64) Pair {
-	return Pair{Site: "a/" + site + ".toml", Day: day, Before: Outcome{Worth: before}, After: Outcome{Worth: after}}
+	return Pair{Day: Day{Site: "a/" + site + ".toml", Day: day}, Before: Outcome{Worth: before}, After: Outcome{Worth: after}}
 }
 
 func TestTableAndPlot(t *testing.T) {
@@ -62,7 +62,7 @@
 	if err := os.WriteFile(bench, []byte(script), 0o755); err != nil {
 		t.Fatal(err)
 	}
-	series := Series{Bench: bench, Sites: []string{"s.toml"}, Days: []string{"quiet"}, Seeds: 3, FirstSeed: 7, Jobs: 2, Why: "a test"}
+	series := Series{Bench: Bench{Program: bench, Why: "a test"}, Days: Days{Sites: []string{"s.toml"}, Days: []string{"quiet"}, Seeds: 3, FirstSeed: 7}, Jobs: 2}
 	for tree, worth := range map[*string]string{&series.Before: "0.4", &series.After: "0.9"} {
 		*tree = t.TempDir()
 		if err := os.WriteFile(filepath.Join(*tree, "worth"), []byte(worth), 0o644); err != nil {
@@ -76,7 +76,7 @@
 	if len(pairs) != 3 || pairs[2].Seed != 9 || pairs[2].Before.Worth != 0.4 || pairs[2].After.Worth != 0.9 || pairs[0].After.Lag != 2.5 {
 		t.Errorf("%+v", pairs)
 	}
-	series.Bench = filepath.Join(folder, "none")
+	series.Bench.Program = filepath.Join(folder, "none")
 	if _, err := series.Play(t.Context()); err == nil {
 		t.Error("a bench that is not there is told of")
 	}
--- a/internal/command/compare/play.go
+++ b/internal/command/compare/play.go
@@ -15,18 +15,49 @@
 	"github.com/samber/oops"
 )
 
-// Series is what is to be played.
+// Bench is the users' bench and how it is called.
+type Bench struct {
+	// Program is its path; Why stands in its journal.
+	Program, Why string
+	// NoCPU charges no processor time.
+	NoCPU bool
+}
+
+// Days are the days that each tree plays.
+type Days struct {
+	// Sites are site files, Days names of days in each of them.
+	Sites, Days []string
+	FirstSeed   uint64
+	Seeds       int
+}
+
+// Day is one day of a site with its seed.
+type Day struct {
+	Site, Day string
+	Seed      uint64
+}
+
+// List returns the days by site, name and seed.
+func (d Days) List() []Day {
+	var list []Day
+	for _, site := range d.Sites {
+		for _, day := range d.Days {
+			for i := range d.Seeds {
+				list = append(list, Day{Site: site, Day: day, Seed: d.FirstSeed + uint64(i)})
+			}
+		}
+	}
+	return list
+}
+
+// Series compares two trees.
 type Series struct {
-	// Bench is the bench's program, Before and After are the trees.
-	Bench, Before, After string
-	Sites, Days          []string
-	FirstSeed            uint64
-	Seeds                int
+	Bench Bench
+	Days  Days
+	// Before and After are the trees' folders.
+	Before, After string
 	// Jobs is how many days are played at once.
 	Jobs int
-	Why  string
-	// NoCPU charges no processor time.
-	NoCPU bool
 }
 
 // Outcome is what one day came to.
@@ -44,73 +75,66 @@
 
 // Pair is one day and seed played by both trees.
 type Pair struct {
-	Site, Day     string
-	Seed          uint64
+	Day
 	Before, After Outcome
 }
 
 // Play plays all pairs. The two plays of a pair follow one another, so that what else the
 // machine does meets both alike.
 func (s *Series) Play(ctx context.Context) ([]Pair, error) {
-	pairs := s.pairs()
+	days := s.Days.List()
+	pairs := make([]Pair, len(days))
+	err := each(ctx, s.Jobs, len(days), func(ctx context.Context, i int) (err error) {
+		pairs[i].Day = days[i]
+		if pairs[i].Before, err = s.Bench.Play(ctx, s.Before, days[i]); err != nil {
+			return err
+		}
+		pairs[i].After, err = s.Bench.Play(ctx, s.After, days[i])
+		return err
+	})
+	return pairs, err
+}
+
+// each calls do for the numbers below n, so many at once; the first error stops the rest.
+func each(ctx context.Context, atOnce, n int, do func(ctx context.Context, i int) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	places := make(chan struct{}, s.Jobs)
+	places := make(chan struct{}, atOnce)
 	var group sync.WaitGroup
-	for i := range pairs {
+	for i := range n {
 		group.Go(func() {
 			places <- struct{}{}
 			defer func() { <-places }()
-			if err := s.playPair(ctx, &pairs[i]); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			if err := do(ctx, i); err != nil {
 				cancel(err)
 			}
 		})
 	}
 	group.Wait()
-	return pairs, context.Cause(ctx)
+	return context.Cause(ctx)
 }
 
-func (s *Series) pairs() []Pair {
-	var pairs []Pair
-	for _, site := range s.Sites {
-		for _, day := range s.Days {
-			for i := range s.Seeds {
-				pairs = append(pairs, Pair{Site: site, Day: day, Seed: s.FirstSeed + uint64(i)})
-			}
-		}
-	}
-	return pairs
-}
-
-func (s *Series) playPair(ctx context.Context, pair *Pair) (err error) {
-	if pair.Before, err = s.play(ctx, s.Before, *pair); err != nil {
-		return err
-	}
-	pair.After, err = s.play(ctx, s.After, *pair)
-	return err
-}
-
-// play plays one day by one tree.
-func (s *Series) play(ctx context.Context, tree string, pair Pair) (Outcome, error) {
-	if ctx.Err() != nil {
-		return Outcome{}, context.Cause(ctx)
-	}
-	failed := oops.With("tree", tree).With("site", pair.Site).With("day", pair.Day).With("seed", pair.Seed)
+// Play plays one day by the tree in a folder.
+func (b Bench) Play(ctx context.Context, tree string, day Day) (Outcome, error) {
+	failed := oops.With("tree", tree).With("site", day.Site).With("day", day.Day).With("seed", day.Seed)
 	folder, err := os.MkdirTemp("", "compare")
 	if err != nil {
 		return Outcome{}, failed.Wrapf(err, "a folder for the report")
 	}
 	defer os.RemoveAll(folder)
 	report := filepath.Join(folder, "report.json")
-	site, err := filepath.Abs(pair.Site)
+	site, err := filepath.Abs(day.Site)
 	if err != nil {
 		return Outcome{}, failed.Wrapf(err, "the site's path")
 	}
-	arguments := []string{"run", site, pair.Day, "--seed", strconv.FormatUint(pair.Seed, 10), "--report", report, "--why", s.Why}
-	if s.NoCPU {
+	arguments := []string{"run", site, day.Day, "--seed", strconv.FormatUint(day.Seed, 10), "--report", report, "--why", b.Why}
+	if b.NoCPU {
 		arguments = append(arguments, "--no-cpu")
 	}
-	play := exec.CommandContext(ctx, s.Bench, arguments...)
+	play := exec.CommandContext(ctx, b.Program, arguments...)
 	play.Dir = tree
 	text, err := play.CombinedOutput()
 	if err != nil {
--- a/internal/command/compare/plot.go
+++ b/internal/command/compare/plot.go
@@ -32,5 +32,8 @@
 		names = append(names, row.site+"\n"+row.day)
 	}
 	drawing.NominalX(names...)
-	return drawing.Save(plotMargin+columnWidth*vg.Length(len(names)), plotHeight, file)
+	return drawing.Save(plotMargin+widthOf(len(names)), plotHeight, file)
 }
+
+// widthOf returns the width of so many columns.
+func widthOf(columns int) vg.Length { return columnWidth * vg.Length(columns) }
--- a/internal/command/compare/table.go
+++ b/internal/command/compare/table.go
@@ -15,6 +15,9 @@
 	pairs     []Pair
 }
 
+// allDays names the row of a site as a whole.
+const allDays = "all"
+
 // groups returns the pairs by site and day, with a row for each site as a whole behind its
 // days.
 func groups(pairs []Pair) []group {
@@ -23,12 +26,12 @@
 	var sites []string
 	for _, pair := range pairs {
 		site := siteName(pair.Site)
-		if n := len(list); n == 0 || list[n-1].site != site || list[n-1].day != pair.Day {
-			list = append(list, group{site: site, day: pair.Day})
+		if n := len(list); n == 0 || list[n-1].site != site || list[n-1].day != pair.Day.Day {
+			list = append(list, group{site: site, day: pair.Day.Day})
 		}
 		list[len(list)-1].pairs = append(list[len(list)-1].pairs, pair)
 		if whole[site] == nil {
-			whole[site] = &group{site: site, day: "all"}
+			whole[site] = &group{site: site, day: allDays}
 			sites = append(sites, site)
 		}
 		whole[site].pairs = append(whole[site].pairs, pair)
