The pause between two holders of the order lease is owed to the replicas that were ordered

Now the lease's record tells beforehand, as a bit for each of 256 buckets, which replicas its holder orders; the next one owes the pause to these and orders the others at once.

Ruled out: naming the replicas (2 KB in a record that every node reads). Also mended: a renewal whose answer was lost may have taken a replica off the record; until the next answer the holder no longer orders it (TestLostRenewalDeclaresNothing). Event 400 told of - ms where no pause was owed; it now has owed_ms.

Tests: TestOtherTargetsNeedNoPause fails with the pause owed to all (3.3 s and 2.8 s), TestLostRenewalDeclaresNothing without the intersection.

--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -3,8 +3,8 @@
 // Validity counts from sending the renewal. A challenger waits until the record has
 // stood unchanged for longer than that, on its own clock. The fence is the record's
 // revision at the acquisition, so it rises with each holder. As back ends also want
-// some time between the acts of two holders, a new holder acts only after a pause,
-// unless the record shows that its predecessor had not acted for that long.
+// some time between the acts of two holders, the record tells beforehand on which targets
+// its holder acts. A new holder acts on these only after a pause, on all others at once.
 package recordlease
 
 import (
@@ -64,13 +64,20 @@
 	held       bool
 	fence      int64
 	validUntil time.Time
-	actAfter   time.Time
-	lastAct    time.Time
-	declared   bool
-	wanted     bool
 	busy       bool
 	nextAt     time.Time
 	resigned   bool
+
+	// declared are the targets that the record surely tells of, wanted those that it is to
+	// tell of next.
+	declared, wanted targetSet
+	// owed are the targets that wait for actAfter, as another holder acted on them.
+	owed     targetSet
+	actAfter time.Time
+	// lastAct is this node's last act on any target; acted tells of each, also of the
+	// former holder's.
+	lastAct time.Time
+	acted   actTimes
 }
 
 // New returns a lease whose record was not read yet.
@@ -104,17 +111,22 @@
 // Holder returns the last known holder.
 func (l *Lease) Holder() string { return l.row.Holder }
 
-// Act reports whether the holder may act now, and notes that it does. The record
-// must say beforehand that the holder acts, so the first call may have to wait for a
+// Act reports whether the holder may act on a target now, and notes that it does. The
+// record must tell of the target beforehand, so the first call may have to wait for a
 // renewal.
-func (l *Lease) Act(now time.Time) bool {
-	if !l.Held(now) || now.Before(l.actAfter) || l.resigned {
+func (l *Lease) Act(now time.Time, target string) bool {
+	if !l.Held(now) || l.resigned {
+		return false
+	}
+	bucket := bucketOf(target)
+	if l.owed.has(bucket) && now.Before(l.actAfter) {
 		return false
 	}
-	l.wanted = true
-	if !l.declared {
+	l.wanted.add(bucket)
+	if !l.declared.has(bucket) {
 		return false
 	}
+	l.acted[bucket] = now
 	l.lastAct = now
 	return true
 }
@@ -138,11 +150,23 @@
 }
 
 // mustDeclare reports whether an act waits for the record to tell of it.
-func (l *Lease) mustDeclare(now time.Time) bool { return l.Held(now) && l.wanted && !l.declared }
+func (l *Lease) mustDeclare(now time.Time) bool {
+	return l.Held(now) && !l.wanted.within(&l.declared)
+}
+
+// told returns the targets that the record has to tell of: those that this node is about to
+// act on, and those acted on so lately that the next holder owes them a pause.
+func (l *Lease) told(now time.Time) targetSet {
+	set := l.acted.since(now, l.options.Pause+actFor+pauseMargin)
+	for i := range set {
+		set[i] |= l.wanted[i]
+	}
+	return set
+}
 
 func (l *Lease) lose(reason string) {
 	l.held = false
-	l.declared = false
+	l.declared = targetSet{}
 	l.options.Queue.Log(event.LeaseLost, "lease", l.options.Key.Key, "fence", l.fence, "reason", reason)
 }
 
@@ -201,22 +225,22 @@
 
 func (l *Lease) acquire(now time.Time) {
 	former := l.row
-	next := &doorstepv1.OrderLease{
-		Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1,
-		Ordering: former.Ordering, ActsFromMs: former.ActsFromMs,
-	}
+	next := &doorstepv1.OrderLease{Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1, ActsFromMs: former.ActsFromMs}
 	if former.Ordering && !l.own() {
 		// The pause is owed from the try on: if its answer is lost, the record names this
 		// node and tells of its predecessor no more.
-		l.actAfter = now.Add(l.owed(now))
+		l.owed = targetsOf(former)
+		l.actAfter = now.Add(l.pauseLeft(now))
 		next.ActsFromMs = l.clockAt(now, l.actAfter)
-		// The record goes on saying so until the pause is over, and for as long as a
+		// The record goes on telling of them until the pause is over, and for as long as a
 		// former life of this node may have acted.
-		l.lastAct = l.actAfter.Add(-l.options.Pause)
+		actedAt := l.actAfter.Add(-l.options.Pause)
 		if former.Holder == l.options.Holder {
-			l.lastAct = now
+			actedAt = now
 		}
+		l.acted.raise(&l.owed, actedAt)
 	}
+	setTargets(next, l.told(now))
 	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
 		if result.Status != port.RecordDone {
 			l.adopt(now, result)
@@ -225,16 +249,26 @@
 		l.held = true
 		l.fence = result.Revision
 		l.validUntil = sentAt.Add(Validity)
-		l.declared = false
+		l.declared = targetsOf(next)
 		l.options.Queue.Log(event.LeaseAcquired, "lease", l.options.Key.Key, "fence", l.fence, "former", former.Holder,
-			"acts_in_ms", l.actAfter.Sub(now).Milliseconds())
+			"owed_ms", max(0, l.untilActs(now)).Milliseconds())
 	})
 }
 
-// owed returns how long this node must not act, as another may have acted of late. Orders
-// of one node's two lives are one holder's: back ends tell nodes apart, not processes. So
-// it goes on at once after a restart, but for what its former life still owed.
-func (l *Lease) owed(now time.Time) time.Duration {
+// untilActs returns how long the targets that a pause is owed to still wait, 0 if there are
+// none.
+func (l *Lease) untilActs(now time.Time) time.Duration {
+	if l.owed.empty() {
+		return 0
+	}
+	return l.actAfter.Sub(now)
+}
+
+// pauseLeft returns how long this node must not act on the targets of the record, as another
+// may have acted on them of late. Orders of one node's two lives are one holder's: back ends
+// tell nodes apart, not processes. So it goes on at once after a restart, but for what its
+// former life still owed.
+func (l *Lease) pauseLeft(now time.Time) time.Duration {
 	if least, _, known := l.options.Clock(now); known && l.row.Holder == l.options.Holder {
 		return max(time.Duration(l.row.ActsFromMs)*time.Millisecond-least, 0)
 	}
@@ -256,13 +290,16 @@
 func (l *Lease) renew(now time.Time) {
 	next := proto.Clone(l.row).(*doorstepv1.OrderLease)
 	next.Beat++
-	next.Ordering = l.wanted || now.Sub(l.lastAct) <= l.options.Pause+pauseMargin
-	l.wanted = false
+	targets := l.told(now)
+	setTargets(next, targets)
+	l.wanted = targetSet{}
+	// Until the answer the record may tell of either set.
+	l.declared.intersect(&targets)
 	l.commit(now, next, func(now, sentAt time.Time, result port.RecordResult) {
 		switch {
 		case result.Status == port.RecordDone:
 			l.validUntil = sentAt.Add(Validity)
-			l.declared = next.Ordering
+			l.declared = targets
 			l.nextAt = sentAt.Add(renewEvery)
 		default:
 			l.adopt(now, result)
@@ -318,7 +355,8 @@
 		return
 	}
 	l.held = false
-	next := &doorstepv1.OrderLease{Beat: l.row.Beat + 1, Ordering: now.Sub(l.lastAct) <= l.options.Pause+pauseMargin}
+	next := &doorstepv1.OrderLease{Beat: l.row.Beat + 1}
+	setTargets(next, l.told(now))
 	l.options.Queue.Log(event.LeaseReleased, "lease", l.options.Key.Key, "fence", l.fence)
 	l.commit(now, next, func(time.Time, time.Time, port.RecordResult) {})
 }
--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/standin/model"
@@ -37,6 +40,9 @@
 	return b
 }
 
+// target is what the leases act on unless a test says otherwise; other is in another bucket.
+const target, other = "replica-1", "replica-2"
+
 // run lets time pass, with a tick each 50 ms.
 func (b *bench) run(length time.Duration) {
 	for end := b.now.Add(length); b.now.Before(end); b.now = b.now.Add(50 * time.Millisecond) {
@@ -134,7 +140,7 @@
 // against the pause that is asked between two holders.
 func (b *bench) actsApart(t *testing.T, i int, acted time.Time) {
 	t.Helper()
-	for !b.leases[i].Act(b.now) {
+	for !b.leases[i].Act(b.now, target) {
 		b.run(50 * time.Millisecond)
 		if b.now.Sub(acted) > time.Minute {
 			t.Fatal("the next holder never acts")
@@ -181,13 +187,13 @@
 	b := newBench(2)
 	b.run(2 * time.Second)
 	first := b.only(t)
-	for !b.leases[first].Act(b.now) {
+	for !b.leases[first].Act(b.now, target) {
 		b.run(50 * time.Millisecond)
 	}
 	acted := b.now
 	b.cut[first] = true
-	for !b.leases[1-first].Act(b.now) {
-		if b.leases[first].Act(b.now) {
+	for !b.leases[1-first].Act(b.now, target) {
+		if b.leases[first].Act(b.now, target) {
 			acted = b.now
 		}
 		b.run(50 * time.Millisecond)
@@ -257,14 +263,14 @@
 	b.leases[first].Resign(b.now)
 	b.run(time.Second)
 	second := b.only(t)
-	if second == first || !b.leases[second].Act(b.now) && !actsWithin(b, second, time.Second) {
+	if second == first || !b.leases[second].Act(b.now, target) && !actsWithin(b, second, time.Second) {
 		t.Error("a lease that was given up, and under which nobody acted, passes at once")
 	}
 }
 
 func actsWithin(b *bench, index int, length time.Duration) bool {
 	for end := b.now.Add(length); b.now.Before(end); {
-		if b.leases[index].Act(b.now) {
+		if b.leases[index].Act(b.now, target) {
 			return true
 		}
 		b.run(50 * time.Millisecond)
@@ -332,3 +338,104 @@
 	b.restart(second)
 	b.actsApart(t, second, acted)
 }
+
+// Incident 0004: the next holder owed the pause to all replicas, also to those that its
+// predecessor had not ordered, and no version was ordered for 3.3 s.
+func TestOtherTargetsNeedNoPause(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		b := newBench(2)
+		b.run(2 * time.Second)
+		first := b.only(t)
+		second := 1 - first
+		if !actsWithin(b, first, time.Second) {
+			t.Fatal("the holder does not act")
+		}
+		acted := b.now
+		if planned {
+			b.leases[first].Resign(b.now)
+		} else {
+			b.cut[first] = true
+		}
+		for !b.leases[second].Held(b.now) {
+			b.run(50 * time.Millisecond)
+		}
+		held := b.now
+		for !b.leases[second].Act(b.now, other) {
+			b.run(50 * time.Millisecond)
+		}
+		if waited := b.now.Sub(held); waited > 100*time.Millisecond {
+			t.Errorf("planned %t: a target that the former holder left alone waits %s", planned, waited)
+		}
+		b.actsApart(t, second, acted)
+	}
+}
+
+// The third holder owes the pause to the first one's targets, though the second never acted.
+func TestPauseOutlivesAHolderThatDidNotAct(t *testing.T) {
+	b := newBench(3)
+	b.run(2 * time.Second)
+	first := b.only(t)
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	acted := b.now
+	b.leases[first].Resign(b.now)
+	for len(b.holders()) == 0 || b.only(t) == first {
+		b.run(50 * time.Millisecond)
+	}
+	second := b.only(t)
+	b.leases[second].Resign(b.now)
+	for len(b.holders()) == 0 || b.only(t) == second {
+		b.run(50 * time.Millisecond)
+	}
+	b.actsApart(t, b.only(t), acted)
+}
+
+// A renewal that drops a target and whose answer is lost may stand: until the next answer
+// the holder must not act on that target.
+func TestLostRenewalDeclaresNothing(t *testing.T) {
+	b := newBench(2)
+	b.run(2 * time.Second)
+	first := b.only(t)
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	b.run(b.leases[first].options.Pause + actFor + pauseMargin - 100*time.Millisecond)
+	b.lost[first] = true
+	b.run(renewEvery + 100*time.Millisecond)
+	if !b.leases[first].Held(b.now) {
+		t.Fatal("the lease is not held")
+	}
+	if b.leases[first].Act(b.now, target) {
+		t.Error("acts on a target that the record may no longer tell of")
+	}
+}
+
+// A record of a node that kept no targets says only that its holder acts.
+func TestRecordWithoutTargetsMeansAll(t *testing.T) {
+	set := targetsOf(&doorstepv1.OrderLease{Ordering: true})
+	for bucket := range targetBuckets {
+		if !set.has(bucket) {
+			t.Fatalf("bucket %d may have been acted on", bucket)
+		}
+	}
+	if set := targetsOf(&doorstepv1.OrderLease{}); !set.empty() {
+		t.Error("a holder that does not act has no targets")
+	}
+}
+
+func TestTargetsAreKeptInTheRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var set, read targetSet
+		names := rapid.SliceOf(rapid.String()).Draw(t, "targets")
+		for _, name := range names {
+			set.add(bucketOf(name))
+		}
+		row := &doorstepv1.OrderLease{}
+		setTargets(row, set)
+		read = targetsOf(row)
+		if row.Ordering != (len(names) > 0) || read != set || !set.within(&read) {
+			t.Fatalf("%v reads as %v", set, read)
+		}
+	})
+}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -303,7 +303,7 @@
 		state.reportAt = time.Time{}
 		return
 	}
-	if !r.options.Lease.Act(now) {
+	if !r.options.Lease.Act(now, one.endpoint.ID) {
 		return
 	}
 	state.ordered = true
