--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -57,6 +57,8 @@
 	version   int64
 	sequence  int64
 	orderedAt time.Time
+	// loadingAt is when the replica last told that it carries the order out.
+	loadingAt time.Time
 }
 
 // Rollout is the machine; it belongs to the node's loop.
@@ -120,8 +122,8 @@
 	loading := r.follow(now, members, limit)
 	staying := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return e.Leaving() })
 	r.groups.assign(staying, r.targets, demand)
-	for _, load := range r.wanted(staying) {
-		state := r.state(load.endpoint.ID)
+	for _, next := range r.wanted(staying) {
+		state := r.state(next.endpoint.ID)
 		if state.ordered || now.Before(state.notAt) {
 			continue
 		}
@@ -129,7 +131,7 @@
 			return
 		}
 		loading++
-		r.order(now, load, state)
+		r.order(now, next, state)
 	}
 }
 
@@ -188,7 +190,7 @@
 		}
 		switch {
 		case e.Versions[state.model] >= state.version:
-			limit.finished(now.Sub(state.orderedAt), beside)
+			limit.finished(load{orderedAt: state.orderedAt, loadingAt: state.loadingAt, doneAt: now}, beside)
 			r.finish(now, e, state)
 			loading--
 		case now.Sub(state.orderedAt) >= loadFor:
@@ -230,16 +232,16 @@
 	q := &loadQueue{group: len(group)}
 	newest := 0
 	for _, e := range group {
-		load := wanted{endpoint: e, model: model, version: target, behind: target - e.Versions[model]}
+		next := wanted{endpoint: e, model: model, version: target, behind: target - e.Versions[model]}
 		switch {
-		case load.behind <= 0 || r.underWay(load):
+		case next.behind <= 0 || r.underWay(next):
 			newest++
 			q.usable++
-		case load.behind == 1:
+		case next.behind == 1:
 			q.usable++
-			q.may = append(q.may, load)
+			q.may = append(q.may, next)
 		default:
-			q.must = append(q.must, load)
+			q.must = append(q.must, next)
 		}
 	}
 	q.sort()
@@ -249,9 +251,9 @@
 }
 
 // underWay reports whether a load is ordered already.
-func (r *Rollout) underWay(load wanted) bool {
-	state := r.replicas[load.endpoint.ID]
-	return state != nil && state.ordered && state.model == load.model && state.version == load.version
+func (r *Rollout) underWay(next wanted) bool {
+	state := r.replicas[next.endpoint.ID]
+	return state != nil && state.ordered && state.model == next.model && state.version == next.version
 }
 
 // ask asks a replica for its state.
@@ -273,6 +275,7 @@
 			state.notAt = now.Add(lookEvery)
 			r.judge(now, state, report)
 			if report.Loading {
+				state.loadingAt = now
 				one.SetLoading(state.model, now.Add(2*lookEvery))
 			}
 		}
@@ -311,7 +314,7 @@
 	state.model = one.model
 	state.version = one.version
 	state.sequence = state.report.Sequence
-	state.orderedAt = now
+	state.orderedAt, state.loadingAt = now, time.Time{}
 	state.notAt = now.Add(firstLook)
 	one.endpoint.SetLoading(one.model, now.Add(firstLook))
 	fence := r.options.Lease.Fence()
