--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/standin/model"
@@ -30,10 +31,11 @@
 
 // jobRecord is what is known of a job whose acceptance was told.
 type jobRecord struct {
-	job     platformtest.Job
-	results []platformtest.Result
-	indexOf map[string]int
-	ended   bool
+	job        platformtest.Job
+	acceptedAt time.Time
+	results    []platformtest.Result
+	indexOf    map[string]int
+	ended      bool
 }
 
 // NewChecker returns a checker that saw nothing.
@@ -181,12 +183,12 @@
 }
 
 // Accepted notes a job that was answered as taken.
-func (c *Checker) Accepted(job platformtest.Job) {
+func (c *Checker) Accepted(job platformtest.Job, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts["jobs accepted"]++
 	if c.jobs[job.ID] == nil {
-		c.jobs[job.ID] = &jobRecord{job: job, indexOf: map[string]int{}}
+		c.jobs[job.ID] = &jobRecord{job: job, acceptedAt: at, indexOf: map[string]int{}}
 	}
 }
 
@@ -293,16 +295,27 @@
 	return listed || known.ended
 }
 
-// Missing returns the jobs that lack results and were not ended.
-func (c *Checker) Missing() []string {
+// Missing returns the jobs that were accepted before a time, lack results and were not ended.
+func (c *Checker) Missing(before time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []string
 	for id, known := range c.jobs {
-		if !known.ended && len(known.results) < known.job.Items {
+		if known.acceptedAt.Before(before) && !known.ended && len(known.results) < known.job.Items {
 			list = append(list, fmt.Sprintf("%s (%d of %d)", id, len(known.results), known.job.Items))
 		}
 	}
 	slices.Sort(list)
 	return list
 }
+
+// CheckWhole holds the jobs against the time in which they must be whole: it counts from
+// their acceptance, or from the end of the last fault if that is later.
+func (c *Checker) CheckWhole(now, healedAt time.Time, within time.Duration) {
+	if now.Sub(healedAt) < within {
+		return
+	}
+	for _, job := range c.Missing(now.Add(-within)) {
+		c.Violate("job %s is not whole %s after its acceptance and the last fault", job, within)
+	}
+}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -135,7 +135,7 @@
 	for end := time.Now().Add(jobFor); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, random, 2*requestPause) {
 		answer := s.send(ctx, s.pick(random), http.MethodPost, "/batch/x", job.ID, body)
 		if answer.Err == nil && answer.Status == http.StatusAccepted {
-			s.check.Accepted(job)
+			s.check.Accepted(job, time.Now())
 			return true
 		}
 		refusals = refusals && answer.NotRun()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,8 +107,10 @@
 	s.startLoad(ctx, &load)
 	faults := s.disturb(ctx)
 	s.heal()
-	s.settle(ctx)
+	healedAt := time.Now()
+	s.settle(ctx, healedAt)
 	s.drainEach()
+	s.check.CheckWhole(time.Now(), healedAt, settleFor)
 	cancel()
 	load.Wait()
 	s.stopAll()
@@ -301,16 +303,15 @@
 	s.touched()
 }
 
-// settle waits until all jobs are whole.
-func (s *Soak) settle(ctx context.Context) {
-	for end := time.Now().Add(settleFor); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
-		if len(s.check.Missing()) == 0 {
+// settle waits until all jobs are whole that were accepted before the last fault ended. The
+// load goes on meanwhile, so there may always be younger ones under way.
+func (s *Soak) settle(ctx context.Context, healedAt time.Time) {
+	for end := healedAt.Add(settleFor); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		if len(s.check.Missing(healedAt)) == 0 {
 			return
 		}
 	}
-	for _, missing := range s.check.Missing() {
-		s.check.Violate("job %s was accepted and is not whole %s after the last fault", missing, settleFor)
-	}
+	s.check.CheckWhole(time.Now(), healedAt, settleFor)
 }
 
 // stopAll stops every node in the planned way.
