An outage of the store no longer slows the nodes' watches down for ten seconds after it

Each refusal doubled the pause between two watch calls, up to 1.2 s for the shared table and 0.8 s for replicas, also the refusals of one and the same call; it shrinks by a tenth a call, that is in some 12 s. Only the first refusal of a call says that the pace was too high; its repeats are paced by their own pause.

--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -36,8 +36,8 @@
 	// whole that often. 0 reads it only after trouble.
 	Reread time.Duration
 	// Gather is the pause between two calls, in which changes gather. It grows up to
-	// MostGather while the store refuses calls: all nodes share its budget, so each finds
-	// the pace that it bears. A watch whose two are equal yields to none.
+	// MostGather with each call that the store refuses at first: all nodes share its budget,
+	// so each finds the pace that it bears. A watch whose two are equal yields to none.
 	Gather, MostGather time.Duration
 	// Jitter, from 0 to 1, spreads the nodes' calls.
 	Jitter float64
@@ -54,8 +54,10 @@
 	busy    bool
 	nextAt  time.Time
 	pause   time.Duration
-	// gather is the present pause between two calls.
-	gather time.Duration
+	// gather is the present pause between two calls. refusing is set from the first refusal
+	// of a call until one is answered.
+	gather   time.Duration
+	refusing bool
 	// watching is set while a call of the watch is under way that was sent at sentAt.
 	watching bool
 	sentAt   time.Time
@@ -167,6 +169,7 @@
 
 // next paces the call behind one that was answered.
 func (w *Watch) next(now time.Time) {
+	w.refusing = false
 	w.pause = max(firstPause, w.pause*3/4)
 	w.gather = max(w.options.Gather, time.Duration(gatherDecay*float64(w.gather)))
 }
@@ -176,7 +179,12 @@
 func (w *Watch) refused(now time.Time) {
 	w.nextAt = now.Add(w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause)))
 	w.pause = min(2*w.pause, longestPause)
-	w.gather = min(max(2*w.gather, w.gather+gatherStep), w.options.MostGather)
+	if !w.refusing {
+		// Further refusals of the same call say nothing of the pace between two calls: a store
+		// that is away refuses every one.
+		w.gather = min(max(2*w.gather, w.gather+gatherStep), w.options.MostGather)
+		w.refusing = true
+	}
 	if w.healthy && now.Sub(w.answerAt) > refusedFor {
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(port.RecordRefused), "revision", w.after)
 		w.setHealthy(now, false)
