doorstep steps tells from logs where the time of training steps went; compare plays in order

steps: for each batch job, from all nodes' logs: when its items began and were whole, the owners, how runs ended early, and of the item that was whole last what its time went into.

--- a/internal/command/compare/ablate_test.go
+++ b/internal/command/compare/ablate_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -135,3 +137,15 @@
 		t.Error("a mechanism without a patch is told of")
 	}
 }
+
+// A run that is stopped leaves whole pairs: days are played in their order.
+func TestEachKeepsTheOrder(t *testing.T) {
+	var started []int
+	err := each(t.Context(), 1, 20, func(_ context.Context, i int) error {
+		started = append(started, i)
+		return nil
+	})
+	if err != nil || !slices.IsSorted(started) || len(started) != 20 {
+		t.Errorf("%v: %v", started, err)
+	}
+}
--- a/internal/command/compare/play.go
+++ b/internal/command/compare/play.go
@@ -95,19 +95,20 @@
 	return pairs, err
 }
 
-// each calls do for the numbers below n, so many at once; the first error stops the rest.
+// each calls do for the numbers below n in their order, so many at once; the first error
+// stops the rest.
 func each(ctx context.Context, atOnce, n int, do func(ctx context.Context, i int) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	places := make(chan struct{}, atOnce)
 	var group sync.WaitGroup
 	for i := range n {
+		places <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
 		group.Go(func() {
-			places <- struct{}{}
 			defer func() { <-places }()
-			if ctx.Err() != nil {
-				return
-			}
 			if err := do(ctx, i); err != nil {
 				cancel(err)
 			}
--- a/internal/command/operator/explain.go
+++ b/internal/command/operator/explain.go
@@ -38,6 +38,12 @@
 	return ""
 }
 
+// number64 returns a field that holds a number, 0 if there is none.
+func (l *logLine) number64(name string) float64 {
+	value, _ := l.fields[name].(float64)
+	return value
+}
+
 // about reports whether the line names an id.
 func (l *logLine) about(id string) bool {
 	return l.text("request") == id || l.text("item") == id || l.text("job") == id
@@ -49,25 +55,17 @@
 		Name:      "explain",
 		Usage:     "tell from saved logs what became of a request, an item or a batch job",
 		ArgsUsage: "ID",
-		Flags:     []cli.Flag{&cli.StringSliceFlag{Name: "logs", Usage: "a log `FILE` in JSON; one for each, - for standard input", Required: true}},
+		Flags:     []cli.Flag{logsFlag()},
 		Action: func(_ context.Context, c *cli.Command) error {
 			id := c.Args().First()
 			if id == "" {
 				return command.Fail(command.ExitUsage, fmt.Errorf("an ID is needed; see --help"))
 			}
-			var logs []io.Reader
-			for _, path := range c.StringSlice("logs") {
-				if path == "-" {
-					logs = append(logs, os.Stdin)
-					continue
-				}
-				opened, err := os.Open(path)
-				if err != nil {
-					return command.Fail(command.ExitUsage, err)
-				}
-				defer opened.Close()
-				logs = append(logs, opened)
+			logs, closeLogs, err := openLogs(c.StringSlice("logs"))
+			if err != nil {
+				return command.Fail(command.ExitUsage, err)
 			}
+			defer closeLogs()
 			if err := Explain(c.Root().Writer, id, logs...); err != nil {
 				return command.Fail(command.ExitFailed, err)
 			}
@@ -76,6 +74,34 @@
 	}
 }
 
+func logsFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "logs", Usage: "a log `FILE` in JSON; one for each, - for standard input", Required: true}
+}
+
+// openLogs opens the logs that the flag names.
+func openLogs(paths []string) (logs []io.Reader, closeAll func(), err error) {
+	var files []*os.File
+	closeAll = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, path := range paths {
+		if path == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		file, err := os.Open(path)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		files = append(files, file)
+		logs = append(logs, file)
+	}
+	return logs, closeAll, nil
+}
+
 // Explain writes the timeline of an id over the logs of all nodes, and its cause in a
 // sentence.
 func Explain(output io.Writer, id string, logs ...io.Reader) error {
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -40,7 +40,7 @@
 			&cli.IntFlag{Name: "wait", Usage: "seconds to wait for an answer", Value: 10},
 		},
 		Commands: []*cli.Command{
-			execCommand(platform), shellCommand(platform), promptsCommand(platform), grammarCommand(), explainCommand(),
+			execCommand(platform), shellCommand(platform), promptsCommand(platform), grammarCommand(), explainCommand(), stepsCommand(),
 		},
 		EnableShellCompletion: true,
 	}
