--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -7,7 +7,6 @@
 package cluster
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -26,12 +25,6 @@
 )
 
 const (
-	// rolloutRoom is how many items of batch jobs a replica may hold, as a multiple
-	// of its slots.
-	rolloutRoom = 1.5
-	// scoringRoom is how many requests a replica may hold to get a scoring call, as a
-	// multiple of its slots: the rest is left to callers.
-	scoringRoom = 0.7
 	// unreadyAfter is how long the store may be silent before a node calls itself not
 	// ready: others may reach it.
 	unreadyAfter = 2500 * time.Millisecond
@@ -42,26 +35,6 @@
 	LeasePartition = "leases"
 )
 
-// Paces of the watches. Reads of the store are a budget that all nodes share: the tables
-// that change often yield to the one that tells of the configuration.
-const (
-	// configurationWait is short, so that a silent store is noticed within the bound of
-	// a configuration; the others are held longer.
-	configurationWait = 800 * time.Millisecond
-	usualWait         = 1600 * time.Millisecond
-	// replicaGather and sharedGather are the pauses in which changes gather, the others
-	// bound them under refusals: a leaving replica must be known within its bound, and a
-	// silent owner be noticed soon.
-	replicaGather     = 20 * time.Millisecond
-	mostReplicaGather = 800 * time.Millisecond
-	sharedGather      = 40 * time.Millisecond
-	mostSharedGather  = 1200 * time.Millisecond
-	// Whole reads look for changes that a watch missed.
-	configurationReread = 4 * time.Second
-	replicaReread       = 8 * time.Second
-	sharedReread        = 16 * time.Second
-)
-
 // DeploymentDecoder reads the records in which the platform keeps what operators,
 // trainers and replicas say.
 type DeploymentDecoder interface {
@@ -141,54 +114,6 @@
 	return n.shared.ObservedUntil(now)
 }
 
-func (n *Node) watchTables() {
-	for _, table := range n.options.Decoder.DeploymentTables() {
-		options := recordwatch.Options{
-			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(),
-			Wait: configurationWait, Reread: configurationReread,
-			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
-			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
-			OnHealth: func(time.Time, bool) {},
-		}
-		if n.listsReplicas(table) {
-			options.Wait, options.Reread = usualWait, replicaReread
-			options.Gather, options.MostGather = replicaGather, mostReplicaGather
-			options.OnHealth = n.onReplicaHealth
-		}
-		n.watches = append(n.watches, recordwatch.New(options))
-	}
-	partitions := []string{configuration.Partition, LeasePartition}
-	for number := range batch.Partitions {
-		partitions = append(partitions, batch.PartitionName(number))
-	}
-	n.shared = recordwatch.New(recordwatch.Options{
-		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(),
-		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
-		OnList: n.onShared, OnChange: n.onShared, OnHealth: n.onSharedHealth,
-	})
-	n.watches = append(n.watches, n.shared)
-}
-
-// onSharedHealth notes that the watch of the shared table broke or is whole again.
-func (n *Node) onSharedHealth(now time.Time, healthy bool) {
-	n.jobs.Observing(now, healthy)
-	n.lease.Observing(now, healthy)
-}
-
-// onShared takes records that all nodes share.
-func (n *Node) onShared(now time.Time, records []port.Record) {
-	for _, record := range records {
-		switch record.Partition {
-		case configuration.Partition:
-			n.onOperators(now, record)
-		case LeasePartition:
-			n.lease.OnRecord(now, record)
-		default:
-			n.jobs.OnHead(now, record)
-		}
-	}
-}
-
 // Take returns the tasks left since the last call.
 func (n *Node) Take() []task.Task { return n.queue.Take() }
 
@@ -296,58 +221,6 @@
 	return n.Stopping() && now.Sub(n.stoppingAt) >= leaveAfter && (n.jobs.Owned() == 0 || now.Sub(n.stoppingAt) >= 2*leaveAfter)
 }
 
-func (n *Node) onDeployment(now time.Time, table string, records []port.Record, whole bool) {
-	change, err := n.options.Decoder.DecodeDeployment(records)
-	if err != nil {
-		n.queue.Log(event.RecordUnreadable, "table", table, "error", err.Error())
-	}
-	if change.Routes != nil {
-		n.apply(now, change.Routes)
-	}
-	for _, target := range change.Targets {
-		n.rollout.Name(target)
-	}
-	listed := map[string]bool{}
-	for _, record := range change.Replicas {
-		listed[record.ID] = true
-		n.putReplica(n.endpoints.Put(record))
-	}
-	for _, id := range change.Gone {
-		n.removeReplica(now, id)
-	}
-	if whole && n.listsReplicas(table) {
-		for _, e := range n.endpoints.All() {
-			if !listed[e.ID] {
-				n.removeReplica(now, e.ID)
-			}
-		}
-	}
-}
-
-// listsReplicas reports whether a table holds the replicas, by its place among the
-// tables of the deployment.
-func (n *Node) listsReplicas(table string) bool {
-	tables := n.options.Decoder.DeploymentTables()
-	return table == tables[len(tables)-1]
-}
-
-func (n *Node) noteReplica(change endpoint.Change) {
-	if change.Endpoint == nil {
-		return
-	}
-	one := change.Endpoint
-	switch {
-	case change.Added:
-		n.queue.Log(event.ReplicaAdded, "replica", one.ID, "service", one.Service, "address", one.Address, "zone", one.Zone,
-			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining)
-	case change.Removed:
-		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
-		n.queue.Add(task.Forget{Address: one.Address})
-	case change.Leaving:
-		n.queue.Log(event.ReplicaLeaving, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
-	}
-}
-
 // apply puts a newer configuration in force; an older one never comes back.
 func (n *Node) apply(now time.Time, table *port.RouteTable) {
 	if n.routes != nil && table.Version <= n.routes.Version() {
@@ -373,67 +246,3 @@
 	}
 	return list
 }
-
-// place chooses an endpoint for an item of a batch job.
-func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
-	query := n.query(now)
-	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
-	query.Prefer = wanted.Prefer
-	query.Room = rolloutRoom
-	if wanted.Avoid != "" {
-		query.Exclude = map[string]bool{wanted.Avoid: true}
-	}
-	query.BestPace = n.bestPace(now, wanted.Route)
-	if wanted.Long {
-		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
-	}
-	return n.pick(&endpoint.Rollouts, query, wanted.Route)
-}
-
-// bestPace returns the least time between two events of runs on a route's replicas.
-func (n *Node) bestPace(now time.Time, route *port.Route) time.Duration {
-	best := time.Duration(0)
-	for _, backend := range route.Backends {
-		pace := endpoint.BestPace(now, n.endpoints.Service(backend.Service))
-		if best == 0 || pace > 0 && pace < best {
-			best = pace
-		}
-	}
-	return best
-}
-
-// Choose chooses an endpoint for a caller's request that has been to those excluded.
-func (n *Node) Choose(now time.Time, route *port.Route, model string, exclude map[string]bool) *endpoint.Endpoint {
-	query := n.query(now)
-	query.Exclude = exclude
-	query.Model = model
-	return n.pick(&endpoint.Requests, query, route)
-}
-
-// placeScoring chooses an endpoint for an item's scoring call that has been to those
-// excluded.
-func (n *Node) placeScoring(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint {
-	query := n.query(now)
-	query.Exclude = exclude
-	query.Room = scoringRoom
-	return n.pick(&endpoint.ScoringCalls, query, route)
-}
-
-func (n *Node) query(now time.Time) *endpoint.Query {
-	n.rotation++
-	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
-}
-
-// pick tries the route's services in the order of the splitter; an endpoint that was
-// ejected is better than none.
-func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
-	order := n.splitter.Order(route)
-	for _, query.AllowEjected = range []bool{false, true} {
-		for _, service := range order {
-			if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
-				return chosen
-			}
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/process/cluster/place.go
@@ -0,0 +1,82 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/version/batch"
+)
+
+const (
+	// rolloutRoom is how many items of batch jobs a replica may hold, as a multiple
+	// of its slots.
+	rolloutRoom = 1.5
+	// scoringRoom is how many requests a replica may hold to get a scoring call, as a
+	// multiple of its slots: the rest is left to callers.
+	scoringRoom = 0.7
+)
+
+// place chooses an endpoint for an item of a batch job.
+func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
+	query.Prefer = wanted.Prefer
+	query.Room = rolloutRoom
+	if wanted.Avoid != "" {
+		query.Exclude = map[string]bool{wanted.Avoid: true}
+	}
+	query.BestPace = n.bestPace(now, wanted.Route)
+	if wanted.Long {
+		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
+	}
+	return n.pick(&endpoint.Rollouts, query, wanted.Route)
+}
+
+// bestPace returns the least time between two events of runs on a route's replicas.
+func (n *Node) bestPace(now time.Time, route *port.Route) time.Duration {
+	best := time.Duration(0)
+	for _, backend := range route.Backends {
+		pace := endpoint.BestPace(now, n.endpoints.Service(backend.Service))
+		if best == 0 || pace > 0 && pace < best {
+			best = pace
+		}
+	}
+	return best
+}
+
+// Choose chooses an endpoint for a caller's request that has been to those excluded.
+func (n *Node) Choose(now time.Time, route *port.Route, model string, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Exclude = exclude
+	query.Model = model
+	return n.pick(&endpoint.Requests, query, route)
+}
+
+// placeScoring chooses an endpoint for an item's scoring call that has been to those
+// excluded.
+func (n *Node) placeScoring(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now)
+	query.Exclude = exclude
+	query.Room = scoringRoom
+	return n.pick(&endpoint.ScoringCalls, query, route)
+}
+
+func (n *Node) query(now time.Time) *endpoint.Query {
+	n.rotation++
+	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
+}
+
+// pick tries the route's services in the order of the splitter; an endpoint that was
+// ejected is better than none.
+func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	order := n.splitter.Order(route)
+	for _, query.AllowEjected = range []bool{false, true} {
+		for _, service := range order {
+			if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/cluster/watches.go
@@ -0,0 +1,134 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/recordwatch"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/version/batch"
+	"github.com/doorstep/doorstep/internal/version/configuration"
+)
+
+// Paces of the watches. Reads of the store are a budget that all nodes share: the tables
+// that change often yield to the one that tells of the configuration.
+const (
+	// configurationWait is short, so that a silent store is noticed within the bound of
+	// a configuration; the others are held longer.
+	configurationWait = 800 * time.Millisecond
+	usualWait         = 1600 * time.Millisecond
+	// replicaGather and sharedGather are the pauses in which changes gather, the others
+	// bound them under refusals: a leaving replica must be known within its bound, and a
+	// silent owner be noticed soon.
+	replicaGather     = 20 * time.Millisecond
+	mostReplicaGather = 800 * time.Millisecond
+	sharedGather      = 40 * time.Millisecond
+	mostSharedGather  = 1200 * time.Millisecond
+	// Whole reads look for changes that a watch missed.
+	configurationReread = 4 * time.Second
+	replicaReread       = 8 * time.Second
+	sharedReread        = 16 * time.Second
+)
+
+func (n *Node) watchTables() {
+	for _, table := range n.options.Decoder.DeploymentTables() {
+		options := recordwatch.Options{
+			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(),
+			Wait: configurationWait, Reread: configurationReread,
+			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
+			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
+			OnHealth: func(time.Time, bool) {},
+		}
+		if n.listsReplicas(table) {
+			options.Wait, options.Reread = usualWait, replicaReread
+			options.Gather, options.MostGather = replicaGather, mostReplicaGather
+			options.OnHealth = n.onReplicaHealth
+		}
+		n.watches = append(n.watches, recordwatch.New(options))
+	}
+	partitions := []string{configuration.Partition, LeasePartition}
+	for number := range batch.Partitions {
+		partitions = append(partitions, batch.PartitionName(number))
+	}
+	n.shared = recordwatch.New(recordwatch.Options{
+		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(),
+		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
+		OnList: n.onShared, OnChange: n.onShared, OnHealth: n.onSharedHealth,
+	})
+	n.watches = append(n.watches, n.shared)
+}
+
+// onSharedHealth notes that the watch of the shared table broke or is whole again.
+func (n *Node) onSharedHealth(now time.Time, healthy bool) {
+	n.jobs.Observing(now, healthy)
+	n.lease.Observing(now, healthy)
+}
+
+// onShared takes records that all nodes share.
+func (n *Node) onShared(now time.Time, records []port.Record) {
+	for _, record := range records {
+		switch record.Partition {
+		case configuration.Partition:
+			n.onOperators(now, record)
+		case LeasePartition:
+			n.lease.OnRecord(now, record)
+		default:
+			n.jobs.OnHead(now, record)
+		}
+	}
+}
+
+func (n *Node) onDeployment(now time.Time, table string, records []port.Record, whole bool) {
+	change, err := n.options.Decoder.DecodeDeployment(records)
+	if err != nil {
+		n.queue.Log(event.RecordUnreadable, "table", table, "error", err.Error())
+	}
+	if change.Routes != nil {
+		n.apply(now, change.Routes)
+	}
+	for _, target := range change.Targets {
+		n.rollout.Name(target)
+	}
+	listed := map[string]bool{}
+	for _, record := range change.Replicas {
+		listed[record.ID] = true
+		n.putReplica(n.endpoints.Put(record))
+	}
+	for _, id := range change.Gone {
+		n.removeReplica(now, id)
+	}
+	if whole && n.listsReplicas(table) {
+		for _, e := range n.endpoints.All() {
+			if !listed[e.ID] {
+				n.removeReplica(now, e.ID)
+			}
+		}
+	}
+}
+
+// listsReplicas reports whether a table holds the replicas, by its place among the
+// tables of the deployment.
+func (n *Node) listsReplicas(table string) bool {
+	tables := n.options.Decoder.DeploymentTables()
+	return table == tables[len(tables)-1]
+}
+
+func (n *Node) noteReplica(change endpoint.Change) {
+	if change.Endpoint == nil {
+		return
+	}
+	one := change.Endpoint
+	switch {
+	case change.Added:
+		n.queue.Log(event.ReplicaAdded, "replica", one.ID, "service", one.Service, "address", one.Address, "zone", one.Zone,
+			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining)
+	case change.Removed:
+		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
+		n.queue.Add(task.Forget{Address: one.Address})
+	case change.Leaving:
+		n.queue.Log(event.ReplicaLeaving, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
+	}
+}
--- /dev/null
+++ b/internal/version/batch/run.go
@@ -0,0 +1,228 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+const (
+	// runLimit is the time granted to one run of an item.
+	runLimit = 30 * time.Second
+	// slowFactor, times a faster replica's pace, is where a run is moved there;
+	// movesAtMost bounds that for an item.
+	slowFactor = 1.2
+	// troubledFactor is where a run is moved however short it is; others are short
+	// until they have made shortEvents events.
+	troubledFactor = 1.7
+	shortEvents    = 16
+	movesAtMost    = 2
+)
+
+// Silences after which a run is continued at another replica. Continuing costs little,
+// while a silent replica may load a version, or be gone. Each interruption doubles the
+// patience with an item, so that a deployment that is slow as a whole is waited for.
+const (
+	firstSilence   = 1000 * time.Millisecond
+	nextSilence    = 300 * time.Millisecond
+	longestSilence = 4 * time.Second
+)
+
+func (o *ownedJob) startItems(now time.Time) {
+	route := o.route()
+	if route == nil {
+		return
+	}
+	full := false
+	for _, i := range o.order {
+		one := &o.items[i]
+		if one.state != itemWaiting || one.unsaved || now.Before(one.notAt) {
+			continue
+		}
+		if !o.start(now, i, route) {
+			// Without room for one there is none for the next, but for items that
+			// must avoid an endpoint.
+			if full {
+				return
+			}
+			full = true
+		}
+	}
+}
+
+func (o *ownedJob) start(now time.Time, index int, route *port.Route) bool {
+	one, content := &o.items[index], o.job.Items[index]
+	chosen := o.jobs.options.Place(now, Placement{
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion,
+		Prefer: o.prompts[content.Group], Avoid: one.avoid, Long: one.long,
+	})
+	if chosen == nil {
+		return false
+	}
+	if content.Group != "" && !one.long {
+		o.prompts[content.Group] = chosen.ID
+	}
+	o.jobs.runs++
+	one.run = o.jobs.runs
+	one.state = itemRunning
+	one.endpoint = chosen.ID
+	chosen.InFlight++
+	o.openRuns++
+	one.runs++
+	if one.runs == 1 {
+		one.startedAt = now
+	}
+	run := one.run
+	sentAt := now
+	o.jobs.options.Queue.Add(task.Run{
+		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
+		Header: one.header.Clone(), Body: content.Body, Limit: runLimit, Waited: now.Sub(one.waitsSince), After: lastEvent(one.events), Urgent: one.long,
+		FirstWithin: firstWithin(now, chosen, one.interruptions), NextWithin: o.nextSilence(one, route),
+		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
+			return o.onProgress(now, index, run, events, pace)
+		},
+		Done: func(now time.Time, result task.RunResult) {
+			o.jobs.account(now, chosen.ID, o.job.Model, result, now.Sub(sentAt))
+			chosen.InFlight--
+			o.openRuns--
+			o.onRun(now, index, run, result)
+		},
+	})
+	return true
+}
+
+// firstWithin is how long a run may wait for its first event. Behind a full batch it
+// waits in the replica's queue, whose place would be lost by going elsewhere.
+func firstWithin(now time.Time, chosen *endpoint.Endpoint, interruptions int) time.Duration {
+	if chosen.Load(now) > chosen.Slots {
+		return longestSilence
+	}
+	return patience(firstSilence, interruptions)
+}
+
+// patience doubles a silence with each interruption.
+func patience(silence time.Duration, interruptions int) time.Duration {
+	return min(silence<<min(interruptions, 4), longestSilence)
+}
+
+// nextSilence is how long a run may be silent between two events. A text that one
+// version has to make can't be continued elsewhere with any certainty.
+func (o *ownedJob) nextSilence(one *item, route *port.Route) time.Duration {
+	if route.SingleVersion {
+		return longestSilence
+	}
+	return patience(nextSilence, one.interruptions)
+}
+
+// onProgress learns how fast a run makes events, and decides whether it is to go on
+// elsewhere: only if there is a clearly faster replica with room. Moving a run costs its
+// prompt and text read anew, so it is done a few times at most.
+func (o *ownedJob) onProgress(now time.Time, index int, run uint64, events []port.ReplicaEvent, pace time.Duration) bool {
+	one := &o.items[index]
+	if one.run == run && one.state == itemRunning {
+		one.progress = events
+	}
+	if chosen := o.jobs.options.Find(one.endpoint); chosen != nil && one.run == run {
+		chosen.LearnPace(now, pace)
+	}
+	route := o.route()
+	if one.state != itemRunning || one.run != run || route == nil || route.SingleVersion || one.moves >= movesAtMost {
+		return false
+	}
+	better := o.jobs.options.Place(now, Placement{
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
+	})
+	if better == nil || better.Pace(now) == 0 {
+		return false
+	}
+	times := float64(pace) / float64(better.Pace(now))
+	return times > troubledFactor || times > slowFactor && (one.long || len(events) >= shortEvents)
+}
+
+func lastEvent(events []port.ReplicaEvent) int64 {
+	if len(events) == 0 {
+		return 0
+	}
+	return events[len(events)-1].ID
+}
+
+// account tells the endpoint how its run fared.
+func (j *Jobs) account(now time.Time, id, model string, result task.RunResult, took time.Duration) {
+	chosen := j.options.Find(id)
+	if chosen == nil {
+		return
+	}
+	switch result.Outcome {
+	case task.RunCompleted:
+		chosen.Succeeded(result.FirstEvent)
+	case task.RunRefused:
+		chosen.Refused(now, model)
+	case task.RunUnreachable:
+		if chosen.Silent(now) {
+			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
+		}
+	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow:
+	}
+	if result.Pace > 0 {
+		chosen.LearnPace(now, result.Pace)
+	}
+}
+
+// onRun takes the end of a run.
+func (o *ownedJob) onRun(now time.Time, index int, run uint64, result task.RunResult) {
+	one := &o.items[index]
+	if one.state != itemRunning || one.run != run {
+		o.finishStop(now)
+		return
+	}
+	one.state = itemWaiting
+	one.waitsSince = now
+	one.avoid = ""
+	one.progress = nil
+	one.events = append(one.events, result.Events...)
+	o.learnVersions(one, result)
+	o.checkVersions(index)
+	if o.closing || o.releasing && result.Outcome != task.RunCompleted {
+		o.finishStop(now)
+		return
+	}
+	switch result.Outcome {
+	case task.RunCompleted:
+		o.completed(now, index, result)
+	case task.RunInterrupted, task.RunUnreachable:
+		one.avoid = one.endpoint
+		one.interruptions++
+		one.notAt = now.Add(busyPause / 2)
+	case task.RunSlow:
+		one.avoid = one.endpoint
+		one.moves++
+		one.long = true
+	case task.RunRefused:
+		one.avoid = one.endpoint
+		one.notAt = now.Add(busyPause)
+	case task.RunImpossible:
+		o.terminate(now, index, "impossible")
+	case task.RunFailed:
+		o.failed(now, index)
+	}
+	if result.Outcome != task.RunCompleted && result.Outcome != task.RunSlow {
+		o.jobs.options.Queue.Log(event.ItemRetried, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint,
+			"outcome", int(result.Outcome), "status", result.Status, "events", len(one.events))
+	}
+	// A run may come to its end just as it is stopped: the job is handed over all the same.
+	o.finishStop(now)
+	o.advance(now)
+}
+
+func (o *ownedJob) learnVersions(one *item, result task.RunResult) {
+	chosen := o.jobs.options.Find(one.endpoint)
+	if chosen == nil {
+		return
+	}
+	for _, single := range result.Events {
+		chosen.LearnVersion(o.job.Model, single.Version)
+	}
+}
--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -117,6 +117,18 @@
 	return now
 }
 
+// newActing returns leases of which the first holder acts.
+func newActing(t *testing.T, count int) (b *bench, first int) {
+	t.Helper()
+	b = newBench(count)
+	b.run(2 * time.Second)
+	first = b.only(t)
+	if !actsWithin(b, first, time.Second) {
+		t.Fatal("the holder does not act")
+	}
+	return b, first
+}
+
 func (b *bench) holders() []int {
 	var held []int
 	for i, lease := range b.leases {
@@ -207,12 +219,7 @@
 }
 
 func TestFormerHolderGoesOnAtOnce(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
+	b, first := newActing(t, 2)
 	b.cut[0], b.cut[1] = true, true
 	b.run(4 * time.Second)
 	b.cut[0], b.cut[1] = false, false
@@ -224,14 +231,8 @@
 
 // Seed 336 of the cluster simulation: orders of two holders within 2 s.
 func TestPauseOutlivesALostLease(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	second := 1 - first
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
-	acted := b.now
+	b, first := newActing(t, 2)
+	second, acted := 1-first, b.now
 	b.leases[first].Resign(b.now)
 	for !b.leases[second].Held(b.now) {
 		b.run(50 * time.Millisecond)
@@ -245,12 +246,7 @@
 // Seed 183 of the simulation: an order was under way for most of a second when its holder
 // resigned, and reached its replica within the pause of the next holder.
 func TestPauseCountsFromTheEndOfActs(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
+	b, first := newActing(t, 2)
 	arrived := b.now.Add(actFor)
 	b.leases[first].Resign(b.now)
 	b.actsApart(t, 1-first, arrived)
@@ -290,14 +286,8 @@
 // Seed 49 of the simulation: the answer to an acquisition was lost, and the holder took its
 // own record for proof that nobody else had acted of late.
 func TestPauseOutlivesALostAcquisition(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	second := 1 - first
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
-	acted := b.now
+	b, first := newActing(t, 2)
+	second, acted := 1-first, b.now
 	b.lost[second] = true
 	b.leases[first].Resign(b.now)
 	b.run(300 * time.Millisecond)
@@ -308,12 +298,7 @@
 // Incident 9eec: after the loss of all machines the holder's node was back at once, and
 // ordered nothing for 4.8 s.
 func TestRestartedHolderGoesOnAtOnce(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
+	b, first := newActing(t, 2)
 	b.restart(first)
 	if !actsWithin(b, first, 500*time.Millisecond) {
 		t.Error("a node that returns as the holder acts at once: there is no other to keep apart from")
@@ -322,14 +307,8 @@
 
 // A node that took the lease from another owes the pause to it over a restart.
 func TestPauseOutlivesARestart(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	second := 1 - first
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
-	acted := b.now
+	b, first := newActing(t, 2)
+	second, acted := 1-first, b.now
 	b.leases[first].Resign(b.now)
 	b.run(actFor + 500*time.Millisecond)
 	if !b.leases[second].Held(b.now) {
@@ -343,14 +322,8 @@
 // predecessor had not ordered, and no version was ordered for 3.3 s.
 func TestOtherTargetsNeedNoPause(t *testing.T) {
 	for _, planned := range []bool{true, false} {
-		b := newBench(2)
-		b.run(2 * time.Second)
-		first := b.only(t)
-		second := 1 - first
-		if !actsWithin(b, first, time.Second) {
-			t.Fatal("the holder does not act")
-		}
-		acted := b.now
+		b, first := newActing(t, 2)
+		second, acted := 1-first, b.now
 		if planned {
 			b.leases[first].Resign(b.now)
 		} else {
@@ -372,12 +345,7 @@
 
 // The third holder owes the pause to the first one's targets, though the second never acted.
 func TestPauseOutlivesAHolderThatDidNotAct(t *testing.T) {
-	b := newBench(3)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
+	b, first := newActing(t, 3)
 	acted := b.now
 	b.leases[first].Resign(b.now)
 	for len(b.holders()) == 0 || b.only(t) == first {
@@ -394,12 +362,7 @@
 // A renewal that drops a target and whose answer is lost may stand: until the next answer
 // the holder must not act on that target.
 func TestLostRenewalDeclaresNothing(t *testing.T) {
-	b := newBench(2)
-	b.run(2 * time.Second)
-	first := b.only(t)
-	if !actsWithin(b, first, time.Second) {
-		t.Fatal("the holder does not act")
-	}
+	b, first := newActing(t, 2)
 	b.run(b.leases[first].options.Pause + actFor + pauseMargin - 100*time.Millisecond)
 	b.lost[first] = true
 	b.run(renewEvery + 100*time.Millisecond)
