A replica that turns connections down is taken out, and items wait for room rather than go there

A run that could not connect passed for a silent one, which says nothing of a replica that was heard of within a second; and an ejected replica was chosen whenever the others were full, as it alone had room. Now a refused connection is a failure (two in a row eject), and an ejected replica is chosen only if no other lacks just room.

--- a/internal/command/operator/steps.go
+++ b/internal/command/operator/steps.go
@@ -76,7 +76,7 @@
 		return err
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ACCEPTED\tJOB\tMODEL\tSTEP\tITEMS\tSTART, MEDIAN\tLAST\tWHOLE, 95%\tLAST\tENDED\tOWNERS\tRUNS REFUSED\tSILENT\tBROKEN\tSLOW\tLAST ITEM")
+	fmt.Fprintln(table, "ACCEPTED\tJOB\tMODEL\tSTEP\tITEMS\tSTART, MEDIAN\tLAST\tWHOLE, 95%\tLAST\tENDED\tOWNERS\tRUNS REFUSED\tUNREACHABLE\tSILENT\tBROKEN\tSLOW\tLAST ITEM")
 	for _, one := range stepsOf(lines) {
 		if one.lastWhole() >= late {
 			one.write(table)
@@ -171,9 +171,9 @@
 	if s.endedMs > 0 {
 		ended = elapsed(s.since(s.endedMs))
 	}
-	fmt.Fprintf(w, "%.3f s\t%s\t%s\t%d\t%d of %d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", s.acceptedMs/1000, s.id, s.model, s.step, len(s.done), s.items,
+	fmt.Fprintf(w, "%.3f s\t%s\t%s\t%d\t%d of %d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.acceptedMs/1000, s.id, s.model, s.step, len(s.done), s.items,
 		s.quantile(0.5, start), lastStart, s.quantile(0.95, whole), lastWhole, ended, s.owners,
-		s.ends[task.RunRefused], s.ends[task.RunUnreachable], s.ends[task.RunInterrupted]+s.ends[task.RunFailed], s.ends[task.RunSlow], s.cause())
+		s.ends[task.RunRefused], s.ends[task.RunUnreachable], s.ends[task.RunSilent], s.ends[task.RunInterrupted]+s.ends[task.RunFailed], s.ends[task.RunSlow], s.cause())
 }
 
 // cause tells what the time of the item that was whole last went into.
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -50,6 +50,9 @@
 		ID: t.Item, IDOf: a.protocol.RequestID,
 	})
 	if err != nil {
+		if ctx.Err() != nil {
+			return task.RunResult{Outcome: task.RunSilent}
+		}
 		return task.RunResult{Outcome: task.RunUnreachable}
 	}
 	defer answer.Close()
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
@@ -67,16 +68,32 @@
 	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
 }
 
-// pick tries the route's services in the order of the splitter; an endpoint that was
-// ejected is better than none.
+// pick chooses an endpoint of the route's services. One that was ejected is better than
+// none, but worse than to wait for room at another: it fails at once, so it always has room.
 func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
 	order := n.splitter.Order(route)
-	for _, query.AllowEjected = range []bool{false, true} {
-		for _, service := range order {
-			if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
-				return chosen
-			}
+	if chosen := n.pickInOrder(profile, query, order); chosen != nil {
+		return chosen
+	}
+	if query.Room > 0 && n.roomLater(profile, *query, order) {
+		return nil
+	}
+	query.AllowEjected = true
+	return n.pickInOrder(profile, query, order)
+}
+
+// pickInOrder tries services in the order of the splitter.
+func (n *Node) pickInOrder(profile *endpoint.Profile, query *endpoint.Query, order []string) *endpoint.Endpoint {
+	for _, service := range order {
+		if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
+			return chosen
 		}
 	}
 	return nil
 }
+
+// roomLater reports whether there is an endpoint that lacks nothing but room.
+func (n *Node) roomLater(profile *endpoint.Profile, query endpoint.Query, order []string) bool {
+	query.Room = math.Inf(1)
+	return n.pickInOrder(profile, &query, order) != nil
+}
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -74,8 +74,11 @@
 	RunRefused
 	// RunSlow means that it was stopped as its events came too slowly.
 	RunSlow
-	// RunUnreachable means that the replica could not be reached.
+	// RunUnreachable means that the replica could not be reached: the connection was refused
+	// or reset before an answer.
 	RunUnreachable
+	// RunSilent means that the replica gave no answer in the time granted.
+	RunSilent
 )
 
 // RunResult is the end of a run. Each event carries the version that made it.
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -141,7 +141,7 @@
 		case r == nil || r.ID != t.Replica:
 			one.end(task.RunRefused)
 		case r.dark > 0:
-			w.After(t.FirstWithin, func() { one.end(task.RunUnreachable) })
+			w.After(t.FirstWithin, func() { one.end(task.RunSilent) })
 		default:
 			w.check.arrived(w, one)
 			one.begin()
--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -539,3 +539,22 @@
 		t.Errorf("%d results", len(results))
 	}
 }
+
+// A replica that turns connections down is no busy one, even if it answered just before.
+func TestUnreachableReplicaIsEjected(t *testing.T) {
+	for _, c := range []struct {
+		outcome task.RunOutcome
+		ejected bool
+	}{{task.RunUnreachable, true}, {task.RunSilent, false}, {task.RunInterrupted, false}} {
+		b := newBench("a", newStore())
+		b.accept(newJob("j", 2))
+		b.pass(100 * time.Millisecond)
+		b.one.LearnLoad(b.now, 3, 0)
+		for _, run := range b.takeRuns() {
+			run.Done(b.now, task.RunResult{Outcome: c.outcome})
+		}
+		if got := b.one.Ejected(b.now); got != c.ejected {
+			t.Errorf("after two runs that ended as %d: ejected: %t", c.outcome, got)
+		}
+	}
+}
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -160,10 +160,12 @@
 		chosen.Succeeded(result.FirstEvent)
 	case task.RunRefused:
 		chosen.Refused(now, model)
+	case task.RunSilent:
+		j.noteFailure(id, took, chosen.Silent(now))
 	case task.RunUnreachable:
-		if chosen.Silent(now) {
-			j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
-		}
+		// A replica that resets connections fails at once, so that it always has room: unless it
+		// is taken out, it draws all items that wait.
+		j.noteFailure(id, took, chosen.Failed(now))
 	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow:
 	}
 	if result.Pace > 0 {
@@ -171,6 +173,13 @@
 	}
 }
 
+// noteFailure tells that a failure took an endpoint out, if it did.
+func (j *Jobs) noteFailure(id string, took time.Duration, ejected bool) {
+	if ejected {
+		j.options.Queue.Log(event.ReplicaEjected, "replica", id, "after_ms", took.Milliseconds())
+	}
+}
+
 // onRun takes the end of a run.
 func (o *ownedJob) onRun(now time.Time, index int, run uint64, result task.RunResult) {
 	one := &o.items[index]
@@ -192,10 +201,13 @@
 	switch result.Outcome {
 	case task.RunCompleted:
 		o.completed(now, index, result)
-	case task.RunInterrupted, task.RunUnreachable:
+	case task.RunInterrupted, task.RunSilent:
 		one.avoid = one.endpoint
 		one.interruptions++
 		one.notAt = now.Add(busyPause / 2)
+	case task.RunUnreachable:
+		one.avoid = one.endpoint
+		one.notAt = now.Add(busyPause)
 	case task.RunSlow:
 		one.avoid = one.endpoint
 		one.moves++
