--- a/internal/command/operator/explain.go
+++ b/internal/command/operator/explain.go
@@ -38,8 +38,8 @@
 	return ""
 }
 
-// number64 returns a field that holds a number, 0 if there is none.
-func (l *logLine) number64(name string) float64 {
+// float returns a field that holds a number, 0 if there is none.
+func (l *logLine) float(name string) float64 {
 	value, _ := l.fields[name].(float64)
 	return value
 }
--- a/internal/command/operator/steps.go
+++ b/internal/command/operator/steps.go
@@ -93,7 +93,7 @@
 		id := line.text("job")
 		if line.number == event.JobAccepted && steps[id] == nil {
 			steps[id] = &stepRecord{
-				id: id, model: line.text("model"), step: int(line.number64("step")), items: int(line.number64("items")), acceptedMs: line.clockMs,
+				id: id, model: line.text("model"), step: int(line.float("step")), items: int(line.float("items")), acceptedMs: line.clockMs,
 				ends: map[task.RunOutcome]int{},
 			}
 		}
@@ -108,16 +108,16 @@
 		case event.JobEnded:
 			one.endedMs = cmp.Or(one.endedMs, line.clockMs)
 		case event.ItemRetried:
-			one.ends[task.RunOutcome(line.number64("outcome"))]++
+			one.ends[task.RunOutcome(line.float("outcome"))]++
 			broken[item] = line.clockMs
 		case event.ItemCompleted:
-			if line.number64("moves") > 0 {
+			if line.float("moves") > 0 {
 				one.ends[task.RunSlow]++
 			}
 			one.done = append(one.done, itemRecord{
-				id: line.text("item"), replica: line.text("replica"), startMs: line.clockMs - line.number64("since_ms"), lastEndMs: broken[item],
-				doneMs: line.clockMs, events: int(line.number64("events")), lastRunEvents: int(line.number64("last_run_events")),
-				paceMs: line.number64("pace_us") / 1000,
+				id: line.text("item"), replica: line.text("replica"), startMs: line.clockMs - line.float("since_ms"), lastEndMs: broken[item],
+				doneMs: line.clockMs, events: int(line.float("events")), lastRunEvents: int(line.float("last_run_events")),
+				paceMs: line.float("pace_us") / 1000,
 			})
 		}
 	}
@@ -162,11 +162,10 @@
 func (s *stepRecord) write(w io.Writer) {
 	start := func(one itemRecord) float64 { return one.startMs }
 	whole := func(one itemRecord) float64 { return one.doneMs }
-	const allButTheLast = 0.999
 	lastStart, lastWhole, ended := "-", "-", "-"
 	if len(s.done) > 0 {
 		lastWhole = elapsed(s.lastWhole())
-		lastStart = s.quantile(allButTheLast*float64(len(s.done))/float64(max(s.items, 1)), start)
+		lastStart = elapsed(s.since(start(slices.MaxFunc(s.done, func(a, b itemRecord) int { return cmp.Compare(start(a), start(b)) }))))
 	}
 	if s.endedMs > 0 {
 		ended = elapsed(s.since(s.endedMs))
