Long items spread over replicas that are alike, and go where a slot is free

Of the replicas where runs were silent most held six to eight long texts, for six slots, while others had slots free: for a long item a pace that is remembered as better by 3 parts in 100, which is what a full batch makes of it, weighed as much as three runs, and nothing told of the step from the last free slot to a queue of seconds. Paces up to 1.12 times the best now count as alike, load weighs twice as much for long items, and a free slot counts for all.

Tests: TestLongItemsDoNotQueueForASlightlyFasterReplica failed first. TestScores held Steady to its former formula, 0.4 for a pace of 2.5 times the best; it now holds it to the new one at two points.

--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -57,11 +57,11 @@
 	}
 	Rollouts = Profile{
 		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
-		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {SameZone, 0.5}},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {FreeSlot, 3}, {SameZone, 0.5}},
 	}
 	LongRollouts = Profile{
 		filters: Rollouts.filters,
-		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 2}, {SameZone, 0.1}},
+		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {SameZone, 0.1}},
 	}
 	ScoringCalls = Profile{
 		filters: append(slices.Clone(Requests.filters), HasRoom),
@@ -96,6 +96,16 @@
 	return max(0, 1-float64(e.Load(q.Now))/float64(2*max(e.Slots, 1)))
 }
 
+// FreeSlot is 1 for an endpoint that begins a run at once, 0 for one whose slots are taken.
+// Behind a full batch of long texts a run waits for seconds, which LeastLoad alone does not
+// say; an endpoint that is slower by half is better, one that is slower by three is not.
+func FreeSlot(q *Query, e *Endpoint) float64 {
+	if e.Load(q.Now) < e.Slots {
+		return 1
+	}
+	return 0
+}
+
 // typicalLatency is where Fast is one half.
 const typicalLatency = 100 * time.Millisecond
 
@@ -105,14 +115,18 @@
 	return float64(typicalLatency) / float64(typicalLatency+e.latency)
 }
 
-// Steady falls from 1, for the endpoint whose runs make events fastest, towards 0 for
+// alikePaces, times the best pace, is up to where endpoints count as equally fast: a full
+// batch is that much slower than a run alone.
+const alikePaces = 1.12
+
+// Steady falls from 1, for the endpoints whose runs make events fastest, towards 0 for
 // slower ones. One whose pace is not known rates as the fastest, so that it is tried.
 func Steady(q *Query, e *Endpoint) float64 {
 	pace := e.Pace(q.Now)
 	if pace == 0 || q.BestPace == 0 {
 		return 1
 	}
-	return min(float64(q.BestPace)/float64(pace), 1)
+	return min(alikePaces*float64(q.BestPace)/float64(pace), 1)
 }
 
 // slowestUsual, times the best pace, is where an endpoint counts as in trouble rather
