--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -86,7 +86,7 @@
 			x.deliver(w, last)
 			return
 		case relay.Fail:
-			a.refuse(w, id, decision.Status, decision.RetryAfter, decision.Reason, "attempts", x.launched, "max_attempts", route.MaxAttempts,
+			a.refuse(w, id, decision.Status, decision.RetryAfter, decision.Reason, "attempts", x.launched, "attempts_allowed", route.MaxAttempts,
 				"replicas", strings.Join(x.tried, " "), "held_ms", now.Sub(x.started).Milliseconds(), "route", route.Name)
 			return
 		}
