--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,20 @@
 demo: build
 	BIN=$(BIN) scripts/demo.sh
 
+# KNOWN_RED are the tests that KNOWN-RED.txt lists, as a pattern; empty if there are none.
+KNOWN_RED = $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+
+# test passes over the tests that are known to fail, prints them, and fails once one of
+# them passes: then its line is to go.
 test:
+ifneq ($(KNOWN_RED),)
+	@echo "known red, passed over:"; grep '^Test' KNOWN-RED.txt
+	@for one in $(subst |, ,$(KNOWN_RED)); do \
+		if go test -run "^$$one\$$" ./... >/dev/null 2>&1; then echo "$$one passes: take it out of KNOWN-RED.txt"; exit 1; fi; done
+	go test -skip '^($(KNOWN_RED))$$' ./...
+else
 	go test ./...
+endif
 
 check: build
 	@test -z "$$(gofmt -l api cmd internal platform)" || { echo "gofmt would change:"; gofmt -l api cmd internal platform; exit 1; }
--- a/internal/version/batch/scoring_test.go
+++ b/internal/version/batch/scoring_test.go
@@ -305,3 +305,21 @@
 		t.Error("the job was not handed over")
 	}
 }
+
+// Seed 144 of the simulator: of ten scoring calls of one item eight answers were lost. The
+// service may have failed each of these calls, so they count towards what an item that fails on
+// every run may be sent: three times its attempts.
+func TestLostScoresAreBounded(t *testing.T) {
+	b := scoredBench(t)
+	calls := 0
+	for range 40 {
+		b.pass(200 * time.Millisecond)
+		for _, call := range b.takeCalls() {
+			calls++
+			b.answerCall(call, scoreLost)
+		}
+	}
+	if most := 3 * b.route.MaxAttempts; calls > most {
+		t.Errorf("%d calls whose answers were lost, should be %d at most", calls, most)
+	}
+}
