Scoring calls whose answers are lost are bounded on record

Each such call is now counted in the job's head before the next is sent, and failures, losses and calls under way together stay within three times the item's attempts; an item that has used them up waits for its age. Ruled out: giving the item up at the bound, as fewer answered failures than its attempts don't allow that.

--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -38,6 +38,8 @@
 	failures map[int32]int32
 	// scoringFailures counts the failures of scoring calls in the same way.
 	scoringFailures map[int32]int32
+	// scoringLosses counts the scoring calls that were sent and brought no whole answer.
+	scoringLosses map[int32]int32
 	// prompts maps a group to the endpoint that holds its prompt.
 	prompts    map[string]string
 	committing bool
@@ -143,7 +145,7 @@
 	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
-		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
+		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
 	owned.prepare(now)
@@ -163,6 +165,9 @@
 	for index, count := range known.ScoringFailures {
 		o.scoringFailures[index] = max(o.scoringFailures[index], count)
 	}
+	for index, count := range known.ScoringLosses {
+		o.scoringLosses[index] = max(o.scoringLosses[index], count)
+	}
 	for i := range o.items {
 		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
 			o.items[i] = item{state: itemListed, run: o.items[i].run, endpoint: o.items[i].endpoint}
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -20,6 +20,10 @@
 	scoringLimit = 5 * time.Second
 	// unroutedPause is the wait before a route is looked for again.
 	unroutedPause = 250 * time.Millisecond
+	// callsPerAttempt bounds the scoring calls of an item that never brought an answer, as a
+	// multiple of its attempts: the platform's bound on what an item that fails on every run
+	// may be sent. A lost answer may have been a failure.
+	callsPerAttempt = 3
 )
 
 // scoringTry is one try to have a text scored: a request whose attempts are decided over as
@@ -61,6 +65,9 @@
 		decision := one.scoring.relay.Next(now)
 		switch decision.Action {
 		case relay.Launch:
+			if o.scoringExhausted(index) {
+				return
+			}
 			chosen := o.jobs.options.PlaceScoring(now, route, one.scoring.exclude)
 			if chosen == nil {
 				one.scoring.relay.NoEndpoint()
@@ -88,7 +95,7 @@
 
 // beginScoringTry begins a try with its first attempt, once an endpoint has room for it.
 func (o *ownedJob) beginScoringTry(now time.Time, index int, route *port.Route, full map[*port.Route]bool) {
-	if full[route] {
+	if full[route] || o.scoringExhausted(index) {
 		return
 	}
 	// Endpoints that failed the call before come last.
@@ -189,6 +196,17 @@
 	o.finish(now, index, score)
 }
 
+// scoringExhausted reports whether all calls that an item may be sent have failed, were lost
+// or are under way. Without a call that is under way the item waits for its age: fewer
+// failures than its attempts don't allow to give it up.
+func (o *ownedJob) scoringExhausted(index int) bool {
+	calls := int(o.scoringFailures[int32(index)] + o.scoringLosses[int32(index)])
+	if try := o.items[index].scoring; try != nil {
+		calls += len(try.open)
+	}
+	return calls >= callsPerAttempt*o.scoringAttempts(o.job.Items[index].Scoring)
+}
+
 // notScored notes an attempt without a score. Only the failures that a replica answers
 // itself count against the item; after a refusal or a loss the try goes on.
 func (o *ownedJob) notScored(now time.Time, index int, chosen *endpoint.Endpoint, result task.ScoringResult) {
@@ -204,9 +222,13 @@
 		}
 		one.scoringFailedAt[chosen.ID] = true
 	}
+	if result.Outcome == relay.Broken {
+		o.scoringLosses[int32(index)]++
+		one.unsaved = true
+	}
 	o.jobs.options.Queue.Log(event.ScoringRetried, "job", o.id, "item", o.job.Items[index].Id, "call", o.job.Items[index].Scoring.Id,
 		"replica", chosen.ID, "outcome", int(result.Outcome), "status", result.Status, "failures", o.scoringFailures[int32(index)],
-		"error", errorText(result.Err))
+		"losses", o.scoringLosses[int32(index)], "error", errorText(result.Err))
 	if counts && int(o.scoringFailures[int32(index)]) >= o.scoringAttempts(o.job.Items[index].Scoring) {
 		o.terminate(now, index, "the scoring call failed at every attempt")
 		return
