Tenants, usage and replicas on order: tests, stand-in, simulator; the scaler

The simulator counts requests of tenants at nodes whose wall clocks differ and jump, and checks that a window has one report, that holders take no turns, that windows in calm times are exact, and that items and scoring calls run for their job's tenant.

--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -56,6 +56,19 @@
 	ConnectionLimit int
 	// Models are those that its replicas hold.
 	Models []string
+	// Scaling says how many replicas may be ordered, nil where none can be.
+	Scaling *Scaling
+}
+
+// Scaling bounds the replicas of a service that can be ordered.
+type Scaling struct {
+	// Min and Max bound the replicas of each zone, of both kinds together.
+	Min, Max int
+	// Boot is how long a new replica takes to serve.
+	Boot time.Duration
+	// Prices are what a replica costs in each zone where the service may run, relative to the
+	// other zones.
+	Prices map[string]float64
 }
 
 // IngressLimits bound what a client may send.
--- a/internal/process/agent/duties.go
+++ b/internal/process/agent/duties.go
@@ -35,6 +35,7 @@
 // dutiesOf returns the duties that the settings name.
 func dutiesOf(from *settings.Settings) cluster.Duties {
 	duties := cluster.Duties{Fenced: from.Duties.Fenced}
+	duties.Scaling = from.Duties.Has(settings.DutyScaling)
 	if window := settings.Seconds(from.Duties.UsageWindowS); from.Duties.Has(settings.DutyUsage) && window > 0 {
 		duties.Usage = &usage.Windows{Length: window, Late: settings.Seconds(from.Duties.UsageLateS)}
 	}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -51,9 +51,9 @@
 	Decoder     DeploymentDecoder
 	// OrderPause is the least time between the orders of two holders.
 	OrderPause time.Duration
-	// WallAhead is by how much this node's time of day is ahead of the times that its calls
-	// are given, 0 outside of the simulator.
-	WallAhead time.Duration
+	// WallAhead returns by how much this node's time of day is ahead of the times that its
+	// calls are given; nil where these are its time of day.
+	WallAhead func() time.Duration
 	// Duties are the calls to the platform that one node at a time makes.
 	Duties Duties
 }
@@ -71,6 +71,7 @@
 	leases  map[string]*recordlease.Lease
 	lease   *recordlease.Lease
 	usage   *usageDuty
+	scaling *scalingDuty
 	rollout *rollout.Rollout
 	watches []*recordwatch.Watch
 	// shared is the watch of the shared table, the last of the watches.
@@ -105,6 +106,9 @@
 	if options.Duties.Usage != nil {
 		n.usage = n.newUsageDuty(*options.Duties.Usage)
 	}
+	if options.Duties.Scaling {
+		n.scaling = n.newScalingDuty()
+	}
 	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand})
 	n.operators = configuration.Empty()
 	n.watchTables()
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -8,14 +8,16 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/version/recordlease"
+	"github.com/doorstep/doorstep/internal/version/scaling"
 	"github.com/doorstep/doorstep/internal/version/usage"
 )
 
 // Keys of the records in LeasePartition.
 const (
-	orderLeaseKey = "version-orders"
-	usageLeaseKey = "usage"
-	usageClockKey = "usage-clock"
+	orderLeaseKey   = "version-orders"
+	usageLeaseKey   = "usage"
+	usageClockKey   = "usage-clock"
+	scalingLeaseKey = "scaling"
 )
 
 // writtenWithin bounds the wait of a stopping node for its counts to be on record.
@@ -26,6 +28,8 @@
 type Duties struct {
 	// Usage are the windows in which requests are counted and reported.
 	Usage *usage.Windows
+	// Scaling orders replicas.
+	Scaling bool
 	// Fenced says that the platform refuses calls under an older fence than it has seen.
 	Fenced bool
 }
@@ -77,6 +81,65 @@
 	return time.Duration(status.WallOffsetMs) * time.Millisecond, true
 }
 
+// scalingDuty orders replicas.
+type scalingDuty struct {
+	lease  *recordlease.Lease
+	scaler *scaling.Scaler
+}
+
+func (n *Node) newScalingDuty() *scalingDuty {
+	d := &scalingDuty{lease: n.newLease(scalingLeaseKey, recordlease.Unhurried, n.options.Duties.Fenced)}
+	d.scaler = scaling.New(scaling.Options{Self: n.options.Name, Queue: n.queue, Lease: d.lease, Services: n.scaledServices})
+	return d
+}
+
+// scaledServices returns the services whose replicas can be ordered.
+func (n *Node) scaledServices(time.Time) []scaling.Service {
+	if n.routes == nil {
+		return nil
+	}
+	outstanding := n.jobs.Outstanding()
+	var list []scaling.Service
+	for _, service := range n.routes.Services() {
+		if service.Scaling == nil {
+			continue
+		}
+		one := scaling.Service{Name: service.Name, Scaling: *service.Scaling, Zones: n.zonesOf(service)}
+		for _, model := range service.Models {
+			one.Items += outstanding[model]
+		}
+		list = append(list, one)
+	}
+	return list
+}
+
+// zonesOf returns the zones of a service with the replicas that stay there.
+func (n *Node) zonesOf(service port.Service) []scaling.Zone {
+	byName := map[string]*scaling.Zone{}
+	for name := range service.Scaling.Prices {
+		byName[name] = &scaling.Zone{Name: name}
+	}
+	slots := 0
+	for _, e := range n.endpoints.Service(service.Name) {
+		slots = max(slots, e.Slots)
+		zone := byName[e.Zone]
+		if zone == nil {
+			continue
+		}
+		if !e.Draining {
+			zone.Replicas++
+		}
+	}
+	var zones []scaling.Zone
+	for _, zone := range byName {
+		// A zone without a replica would be given such as the others have.
+		zone.Slots = slots
+		zones = append(zones, *zone)
+	}
+	scaling.SortZones(zones)
+	return zones
+}
+
 // onLeaseRecord takes a record of LeasePartition.
 func (n *Node) onLeaseRecord(now time.Time, record port.Record) {
 	if record.Key == usageClockKey {
@@ -91,6 +154,10 @@
 }
 
 func (n *Node) tickDuties(now time.Time) {
+	if n.scaling != nil {
+		n.scaling.lease.Tick(now)
+		n.scaling.scaler.Tick(now)
+	}
 	if n.usage == nil {
 		return
 	}
--- a/internal/process/cluster/status.go
+++ b/internal/process/cluster/status.go
@@ -62,7 +62,12 @@
 }
 
 // wallClock returns the time of day at this node.
-func (n *Node) wallClock(now time.Time) time.Time { return now.Add(n.options.WallAhead) }
+func (n *Node) wallClock(now time.Time) time.Time {
+	if n.options.WallAhead == nil {
+		return now
+	}
+	return now.Add(n.options.WallAhead())
+}
 
 // removeStatus drops the record of a node that stops.
 func (n *Node) removeStatus() {
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -137,6 +137,9 @@
 		return
 	}
 	c.reached(w, known, arrival{id: one.task.Item, replica: one.replica.ID, from: one.node, drainedAt: one.replica.drainedAt})
+	if one.task.Tenant != known.content.Tenant {
+		c.violate(w, "tenant-true", "%s runs for tenant %q, its job's is %q", one.task.Item, one.task.Tenant, known.content.Tenant)
+	}
 	known.starts[one.task.Item]++
 	failing := strings.HasPrefix(one.task.Item, failingItem) || strings.HasPrefix(one.task.Item, impossibleItem)
 	if failing && known.starts[one.task.Item] > 3*maxAttempts {
--- a/internal/simulation/clustersim/check_scoring.go
+++ b/internal/simulation/clustersim/check_scoring.go
@@ -44,6 +44,9 @@
 		return
 	}
 	c.reached(w, known, arrival{id: one.task.Request, replica: s.id, from: one.node, drainedAt: s.drainedAt})
+	if one.task.Tenant != known.content.Tenant {
+		c.violate(w, "tenant-true", "%s runs for tenant %q, its job's is %q", one.task.Request, one.task.Tenant, known.content.Tenant)
+	}
 	scoring := known.scoringOf(item)
 	scoring.calls++
 	if strings.HasPrefix(item, unscorableItem) && scoring.calls > 3*maxAttempts {
--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -31,6 +31,9 @@
 	if got.Accepted < 20 || got.Accepted != got.Jobs || got.Results < got.Accepted*itemsOfJob*9/10 || got.Orders == 0 || got.Scores == 0 {
 		t.Errorf("%d of %d jobs accepted, %d results, %d orders: a calm run serves all", got.Accepted, got.Jobs, got.Results, got.Orders)
 	}
+	if got.ExactWindows < 4 {
+		t.Errorf("%d windows of use were calm enough to be exact", got.ExactWindows)
+	}
 }
 
 func TestSameSeedSameRun(t *testing.T) {
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -36,6 +36,8 @@
 	{"replica-drains", "a replica announces that it leaves, and goes", 9 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyReplica().drain() }},
 	{"orders-late", "orders get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.lateOrders) }},
 	{"orders-slow", "orders are under way for up to a second", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.slowOrders) }},
+	{"clock-step", "a node's time of day jumps by seconds, and back", 10 * time.Second, 6 * time.Second, stepClock},
+	{"duties-late", "calls to the platform get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.duties.losing) }},
 	{"scorer-crash", "a replica that scores dies and another takes its address", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.anyScorer().crash(lasts) }},
 	{"scorer-dark", "a replica that scores answers nothing for a while", 12 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().dark) }},
 	{"scorer-fails", "a replica that scores answers half of its calls with a failure", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().failing) }},
@@ -152,3 +154,13 @@
 	r.slow += more
 	w.After(lasts, func() { r.slow -= more })
 }
+
+func stepClock(w *World, lasts time.Duration) {
+	n := w.anyNode()
+	step := wallStep
+	if w.random.IntN(2) == 0 {
+		step = -step
+	}
+	n.wallAhead += step
+	w.After(lasts, func() { n.wallAhead -= step })
+}
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -115,7 +115,7 @@
 	target := max(w.operator.targets[t.model], 1)
 	job := &doorstepv1.BatchJob{
 		Id: fmt.Sprintf("job-%d", t.steps), Route: t.model, Host: host, Path: "/" + t.model + "/x",
-		Model: t.model, MinVersion: max(target-1, 1), DesiredGroups: desiredGroups,
+		Model: t.model, MinVersion: max(target-1, 1), DesiredGroups: desiredGroups, Tenant: tenantName(t.steps / 1000),
 	}
 	scored := w.random.IntN(unscoredOneIn) != 0
 	for i := range itemsOfJob {
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -55,6 +55,7 @@
 	scorers  []*scorer
 	trainers []*trainer
 	operator *operator
+	duties   *dutyPlatform
 	check    *checker
 	faulty   bool
 	faults   map[string]int
@@ -71,6 +72,7 @@
 	}
 	w.store = newStore(w)
 	w.operator = newOperator(w)
+	w.duties = newDutyPlatform(w)
 	for i := range options.Replicas {
 		w.addReplica(fmt.Sprintf("address-%d", i))
 	}
@@ -92,6 +94,8 @@
 	for _, one := range w.nodes {
 		one.start()
 	}
+	w.duties.watchTrouble()
+	w.After(warmUp, w.duties.begin)
 	for _, one := range w.trainers {
 		w.After(warmUp, one.step)
 	}
@@ -102,6 +106,7 @@
 	w.faulty = false
 	w.runUntil(end.Add(settleTime))
 	w.finalChecks()
+	w.duties.checkWindows(w.Now)
 	return w.report()
 }
 
@@ -123,10 +128,13 @@
 	Orders     int
 	Scores     int
 	Reads      int
+	// Windows counts the reports of use that were taken, ExactWindows those that had to be exact.
+	Windows, ExactWindows int
 }
 
 func (w *World) report() Report {
-	report := Report{Violations: w.check.violations, Faults: w.faults, Results: w.check.resultCount, Orders: w.check.orderCount, Scores: w.check.scoreCount, Reads: w.check.readCount}
+	report := Report{Violations: w.check.violations, Faults: w.faults, Results: w.check.resultCount, Orders: w.check.orderCount, Scores: w.check.scoreCount, Reads: w.check.readCount,
+		Windows: len(w.duties.accepted), ExactWindows: w.duties.exact}
 	for _, job := range w.check.jobs {
 		report.Jobs++
 		if job.acceptedAt != (time.Time{}) {
@@ -149,14 +157,17 @@
 	cut         int
 	// troubledAt is when it last was frozen, cut, killed or started.
 	troubledAt time.Time
-	version    int64
-	runs       map[uint64]*run
-	calls      map[uint64]*scoringCall
-	stopping   bool
+	// wallAhead is by how much its time of day is ahead of the true one.
+	wallAhead time.Duration
+	version   int64
+	runs      map[uint64]*run
+	calls     map[uint64]*scoringCall
+	stopping  bool
 }
 
 func newNode(w *World, index int) *node {
-	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%3)}
+	ahead := time.Duration(w.random.Int64N(int64(2*wallSpread))) - wallSpread
+	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%3), wallAhead: ahead}
 }
 
 func (n *node) start() {
@@ -171,6 +182,7 @@
 	life := n.life
 	n.node = cluster.New(n.world.Now, cluster.Options{
 		Name: n.name, Zone: n.zone, Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
+		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(),
 	})
 	n.world.Every(tickEvery, func() bool {
 		if n.life != life || !n.up {
@@ -269,6 +281,8 @@
 		w.order(n, t, func(status port.VersionOrderStatus) { back(func(now time.Time) { t.Done(now, status) }) })
 	case task.Report:
 		w.ask(n, t, func(report port.ReplicaReport) { back(func(now time.Time) { t.Done(now, report) }) })
+	case task.ReportUsage:
+		w.duties.report(n, t, func(status port.DutyStatus) { back(func(now time.Time) { t.Done(now, status) }) })
 	case task.Later:
 		w.After(t.After, func() { back(t.Do) })
 	case task.Log:
--- a/internal/standin/model/records.go
+++ b/internal/standin/model/records.go
@@ -205,3 +205,14 @@
 	defer r.mu.Unlock()
 	r.hushUntil = until
 }
+
+// All returns every record as it stands, in no order.
+func (r *Records) All() []port.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]port.Record, 0, len(r.rows))
+	for _, record := range r.rows {
+		list = append(list, record)
+	}
+	return list
+}
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -29,3 +29,14 @@
 	}
 	return total
 }
+
+// Outstanding counts, by model, the items of jobs that are neither listed nor needed no more.
+func (j *Jobs) Outstanding() map[string]int {
+	outstanding := map[string]int{}
+	for _, known := range j.heads {
+		if !known.Ended && known.Model != "" {
+			outstanding[known.Model] += int(known.Total - known.Listed)
+		}
+	}
+	return outstanding
+}
--- /dev/null
+++ b/internal/version/scaling/scaling.go
@@ -0,0 +1,216 @@
+// Package scaling decides how many replicas each zone should have, for services whose number
+// of replicas can be ordered. The holder of a lease orders them.
+//
+// Nothing is kept but in memory: an order names the number wanted, not a change, so a new holder
+// only needs to see the replicas and the work at hand.
+package scaling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/version/recordlease"
+)
+
+const (
+	// slotsPerItem is how many slots are wanted for an item that is under way at the peak: short
+	// texts take turns on a slot within a second, the long ones hold theirs throughout.
+	slotsPerItem = 0.6
+	// lookEvery paces the look at the work at hand.
+	lookEvery = 250 * time.Millisecond
+	// peakFor is how long a peak of the work counts: trainers ask for steps every few seconds.
+	peakFor = 15 * time.Second
+	// growBy is by what part the number wanted must exceed the present one for an order.
+	growBy = 0.1
+	// shrinkTo is the part of the present number that must have sufficed throughout shrinkAfter
+	// for replicas to be given back: to have them back takes their start.
+	shrinkTo    = 0.6
+	shrinkAfter = 2 * time.Minute
+	// settleMargin is added to the time that replicas take to start before an order that did not
+	// bring them is repeated.
+	settleMargin = 3 * time.Second
+	// callLimit bounds a call to the platform.
+	callLimit = 900 * time.Millisecond
+	// refusedPause is the wait after a call that brought nothing.
+	refusedPause = 500 * time.Millisecond
+)
+
+// Zone is what is known of a service's replicas in one zone.
+type Zone struct {
+	Name string
+	// Replicas counts those that stay, Slots is what one of them runs at once.
+	Replicas, Slots int
+}
+
+// Service is one whose replicas can be ordered.
+type Service struct {
+	Name string
+	port.Scaling
+	// Items are the items of batch jobs that are under way for it.
+	Items int
+	Zones []Zone
+}
+
+// Options configure a Scaler.
+type Options struct {
+	Self  string
+	Queue *task.Queue
+	Lease *recordlease.Lease
+	// Services returns the services whose replicas can be ordered, as they are now.
+	Services func(now time.Time) []Service
+}
+
+// Scaler is the machine; it belongs to the node's loop.
+type Scaler struct {
+	options Options
+	nextAt  time.Time
+	// peaks holds each service's work of late, zones what was ordered.
+	peaks map[string]*peak
+	zones map[zoneKey]*order
+}
+
+type zoneKey struct{ service, zone string }
+
+// order is the last one for a zone.
+type order struct {
+	replicas int
+	at       time.Time
+	busy     bool
+	notAt    time.Time
+}
+
+// New returns a machine that has ordered nothing.
+func New(options Options) *Scaler {
+	return &Scaler{options: options, peaks: map[string]*peak{}, zones: map[zoneKey]*order{}}
+}
+
+// Tick orders what is due, if this node holds the lease.
+func (s *Scaler) Tick(now time.Time) {
+	if !s.options.Lease.Held(now) {
+		clear(s.peaks)
+		clear(s.zones)
+		return
+	}
+	if now.Before(s.nextAt) {
+		return
+	}
+	s.nextAt = now.Add(lookEvery)
+	for _, service := range s.options.Services(now) {
+		s.tickService(now, service)
+	}
+}
+
+func (s *Scaler) tickService(now time.Time, service Service) {
+	known := s.peaks[service.Name]
+	if known == nil {
+		known = &peak{since: now}
+		s.peaks[service.Name] = known
+	}
+	known.note(now, service.Items)
+	for _, zone := range service.Zones {
+		wanted := s.wanted(now, service, zone, known)
+		if wanted != zone.Replicas {
+			s.order(now, service, zone, wanted)
+		}
+	}
+}
+
+// wanted returns how many replicas a zone should have.
+func (s *Scaler) wanted(now time.Time, service Service, zone Zone, work *peak) int {
+	bound := func(replicas int) int { return min(max(replicas, service.Min, 1), service.Max) }
+	needed := bound(replicasFor(work.most(now, peakFor), zone.Slots, len(service.Zones)))
+	if float64(needed) >= (1+growBy)*float64(zone.Replicas) || zone.Replicas < service.Min {
+		return needed
+	}
+	if now.Sub(work.since) < shrinkAfter {
+		return zone.Replicas
+	}
+	sufficed := bound(replicasFor(work.most(now, shrinkAfter), zone.Slots, len(service.Zones)))
+	if float64(sufficed) <= shrinkTo*float64(zone.Replicas) {
+		return sufficed
+	}
+	return zone.Replicas
+}
+
+// replicasFor returns how many replicas a zone needs for its share of items.
+func replicasFor(items, slots, zones int) int {
+	return int(math.Ceil(slotsPerItem * float64(items) / float64(max(slots, 1)*max(zones, 1))))
+}
+
+// order sets a zone's number of replicas. The same number is ordered again only once replicas
+// that were ordered before would have started.
+func (s *Scaler) order(now time.Time, service Service, zone Zone, wanted int) {
+	key := zoneKey{service.Name, zone.Name}
+	last := s.zones[key]
+	if last == nil {
+		last = &order{}
+		s.zones[key] = last
+	}
+	repeated := last.replicas == wanted && now.Sub(last.at) < service.Boot+settleMargin
+	shrinking := wanted < last.replicas && now.Sub(last.at) < service.Boot+settleMargin
+	if last.busy || repeated || shrinking || now.Before(last.notAt) || !s.options.Lease.Act(now, service.Name+"/"+zone.Name) {
+		return
+	}
+	last.busy = true
+	s.options.Queue.Add(task.OrderReplicas{
+		Order: port.ReplicaOrder{Service: service.Name, Zone: zone.Name, Replicas: wanted, Holder: s.options.Self, Fence: s.options.Lease.Fence()},
+		Limit: min(s.options.Lease.Left(now), callLimit),
+		Done:  func(now time.Time, status port.DutyStatus) { s.onOrdered(now, service, zone, wanted, last, status) },
+	})
+}
+
+func (s *Scaler) onOrdered(now time.Time, service Service, zone Zone, wanted int, last *order, status port.DutyStatus) {
+	last.busy = false
+	s.options.Queue.Log(event.ReplicasOrdered, "service", service.Name, "zone", zone.Name, "replicas", wanted, "listed", zone.Replicas,
+		"items", service.Items, "status", status.String())
+	switch status {
+	case port.DutyDone:
+		last.replicas, last.at = wanted, now
+	case port.DutyFenced:
+		s.options.Lease.Fenced(s.options.Lease.Fence())
+	case port.DutyUnknown, port.DutyRefused, port.DutyUnavailable:
+		last.notAt = now.Add(refusedPause)
+	}
+}
+
+// peak holds how much work there was of late, by seconds.
+type peak struct {
+	since   time.Time
+	seconds []second
+}
+
+type second struct {
+	at    time.Time
+	items int
+}
+
+// note takes how many items are under way.
+func (p *peak) note(now time.Time, items int) {
+	if last := len(p.seconds) - 1; last >= 0 && now.Sub(p.seconds[last].at) < time.Second {
+		p.seconds[last].items = max(p.seconds[last].items, items)
+		return
+	}
+	p.seconds = append(p.seconds, second{now, items})
+	p.seconds = slices.DeleteFunc(p.seconds, func(one second) bool { return now.Sub(one.at) > shrinkAfter })
+}
+
+// most returns the most items that were under way within a span.
+func (p *peak) most(now time.Time, within time.Duration) int {
+	most := 0
+	for _, one := range p.seconds {
+		if now.Sub(one.at) <= within {
+			most = max(most, one.items)
+		}
+	}
+	return most
+}
+
+// SortZones puts zones in the order of their names.
+func SortZones(zones []Zone) {
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+}
