--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -177,6 +177,9 @@
 // counted reports whether nothing that this node counted is lost by its end.
 func (n *Node) counted() bool { return n.usage == nil || n.usage.counter.Unwritten() == 0 }
 
+// Reports reports whether this node reports use to the platform now.
+func (n *Node) Reports(now time.Time) bool { return n.usage != nil && n.usage.lease.Held(now) }
+
 // UsageFigures tell how far the reports of use have come at this node.
 type UsageFigures struct {
 	// Unwritten are requests counted and not on record; Reported and Late count the windows
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -38,6 +38,7 @@
 	{"orders-slow", "orders are under way for up to a second", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.slowOrders) }},
 	{"clock-step", "a node's time of day jumps by seconds, and back", 10 * time.Second, 6 * time.Second, stepClock},
 	{"duties-late", "calls to the platform get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.duties.losing) }},
+	{"reporter-kill", "the node that reports use dies, and comes back remembering nothing", 12 * time.Second, 4 * time.Second, killReporter},
 	{"scorer-crash", "a replica that scores dies and another takes its address", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.anyScorer().crash(lasts) }},
 	{"scorer-dark", "a replica that scores answers nothing for a while", 12 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().dark) }},
 	{"scorer-fails", "a replica that scores answers half of its calls with a failure", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().failing) }},
@@ -155,6 +156,15 @@
 	w.After(lasts, func() { r.slow -= more })
 }
 
+func killReporter(w *World, lasts time.Duration) {
+	for _, one := range w.nodes {
+		if one.up && one.node.Reports(w.Now) {
+			one.kill(lasts)
+			return
+		}
+	}
+}
+
 func stepClock(w *World, lasts time.Duration) {
 	n := w.anyNode()
 	step := wallStep
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -72,6 +73,24 @@
 	c.counts[name]++
 }
 
+// Add notes that a thing was seen so many times.
+func (c *Checker) Add(name string, times int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[name] += times
+}
+
+// Head takes the head of a request that runs at a replica: it names the callers' tenant and
+// holds no key.
+func (c *Checker) Head(id string, header http.Header) {
+	if got := header.Get("X-Tenant"); got != tenant {
+		c.Violate("request %s runs for tenant %q", id, got)
+	}
+	if header.Get("Authorization") != "" {
+		c.Violate("the key of request %s was passed on", id)
+	}
+}
+
 // Violate notes a broken promise.
 func (c *Checker) Violate(format string, values ...any) {
 	c.mu.Lock()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -81,7 +81,7 @@
 }
 
 func (s *Soak) send(ctx context.Context, n *node, method, path, id string, body []byte) platformtest.Answer {
-	return platformtest.Client{}.Send(ctx, platformtest.Call{Address: n.address, Method: method, Path: path, ID: id, Body: body, Deadline: callDeadline})
+	return platformtest.Client{}.Send(ctx, platformtest.Call{Address: n.address, Method: method, Path: path, ID: id, Key: lastingKey, Body: body, Deadline: callDeadline})
 }
 
 // plain sends a request whose answer follows from it. Around a planned stop, an answer
@@ -234,7 +234,9 @@
 
 func (s *Soak) generation(ctx context.Context, n *node, version int64, attempt int) int {
 	id := fmt.Sprintf("probe-%s-%d-%d-%d", n.name, n.lives.Load(), version, attempt)
-	answer := s.send(ctx, n, http.MethodPost, platformtest.GenerationPath(int(version)), id, nil)
+	answer := platformtest.Client{}.Send(ctx, platformtest.Call{
+		Address: n.address, Method: http.MethodPost, Path: platformtest.GenerationPath(int(version)), ID: id, Key: generationKey(version), Deadline: callDeadline,
+	})
 	if answer.Err != nil {
 		return 0
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,12 +48,16 @@
 	store     *platformtest.Store
 	server    *http.Server
 	storeAddr string
-	nodes     []*node
-	mu        sync.Mutex
-	replicas  []*replica
-	named     int
-	version   atomic.Int64
-	config    atomic.Int64
+	// duties is the platform's service for calls that one node at a time may make.
+	duties       *platformtest.Duties
+	dutiesServer *http.Server
+	dutiesAddr   string
+	nodes        []*node
+	mu           sync.Mutex
+	replicas     []*replica
+	named        int
+	version      atomic.Int64
+	config       atomic.Int64
 	// configuredAt is when the newest configuration was written, in nanoseconds since
 	// started.
 	configuredAt atomic.Int64
@@ -113,6 +117,10 @@
 	s.check.CheckWhole(time.Now(), healedAt, settleFor)
 	cancel()
 	load.Wait()
+	for _, window := range s.duties.Conflicts() {
+		s.check.Violate("window %d was reported with counts that differ", window)
+	}
+	s.check.Add("windows of use reported", len(s.duties.Reports()))
 	s.stopAll()
 	return Report{Seed: s.Seed, Violations: s.check.Violations(), Counts: s.check.Counts(), Faults: faults}, nil
 }
@@ -131,6 +139,14 @@
 	s.storeAddr = listener.Addr().String()
 	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(listener) }()
+	s.duties = &platformtest.Duties{}
+	dutiesListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.dutiesAddr = dutiesListener.Addr().String()
+	s.dutiesServer = &http.Server{Handler: s.duties, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.dutiesServer.Serve(dutiesListener) }()
 	s.version.Store(1)
 	s.configure()
 	for range s.ReplicaCount {
@@ -155,10 +171,22 @@
 	return nil
 }
 
+const (
+	// tenant is the one of all callers, lastingKey the key that none of the configurations
+	// takes away.
+	tenant     = "houses"
+	lastingKey = "lasting-key"
+)
+
+// generationKey is the key that one configuration alone allows.
+func generationKey(version int64) string { return fmt.Sprintf("key-of-%d", version) }
+
 // configure writes the next configuration; its version names a route of its own.
 func (s *Soak) configure() int64 {
 	version := s.config.Load() + 1
-	s.store.Put("op", "config", platformtest.Generation(int(version)))
+	s.store.Put("op", "config", platformtest.WithTenants(platformtest.Generation(int(version)), platformtest.Tenant{
+		Name: tenant, Keys: []string{lastingKey, generationKey(version)},
+	}))
 	s.config.Store(version)
 	return version
 }
@@ -191,6 +219,7 @@
 	if err != nil {
 		return err
 	}
+	one.OnHeader(s.check.Head)
 	s.mu.Lock()
 	s.replicas = append(s.replicas, &replica{Replica: one, link: link})
 	s.mu.Unlock()
@@ -229,8 +258,9 @@
 listen: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
+duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, addresses[0], addresses[1], addresses[2], store)
+`, name, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
@@ -259,7 +289,7 @@
 	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		answer := platformtest.Client{}.Send(context.Background(), platformtest.Call{
 			Address: n.address, Method: http.MethodPost, Path: platformtest.GenerationPath(int(s.config.Load())),
-			ID: fmt.Sprintf("ready-%s-%d", n.name, time.Now().UnixNano()), Deadline: time.Second,
+			ID: fmt.Sprintf("ready-%s-%d", n.name, time.Now().UnixNano()), Key: lastingKey, Deadline: time.Second,
 		})
 		if answer.Err == nil && answer.Status == http.StatusOK {
 			return true
@@ -348,4 +378,7 @@
 	if s.server != nil {
 		_ = s.server.Close()
 	}
+	if s.dutiesServer != nil {
+		_ = s.dutiesServer.Close()
+	}
 }
