--- a/internal/command/standin/deployment.go
+++ b/internal/command/standin/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -15,7 +16,7 @@
 func deploymentCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "deployment",
-		Usage: "a platform on loopback: its record store, replicas and a configuration",
+		Usage: "a platform on loopback: its record store, replicas, a configuration, and the calls that one node at a time makes",
 		Flags: []cli.Flag{listenFlag(), &cli.IntFlag{Name: "replicas", Usage: "replicas of each service", Value: 3}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			store := platformtest.NewStore()
@@ -32,7 +33,12 @@
 				}
 			}
 			store.Configure(5, 2000)
-			return serve(ctx, c.String("listen"), store)
+			duties := &platformtest.Duties{Say: func(format string, values ...any) { fmt.Fprintf(c.Root().Writer, format+"\n", values...) }}
+			mux := http.NewServeMux()
+			mux.Handle("/", store)
+			mux.Handle("/usage", duties)
+			mux.Handle("/scaling", duties)
+			return serve(ctx, c.String("listen"), mux)
 		},
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,7 +12,7 @@
 
 . "$(dirname "$0")/lib.sh"
 
-start deployment "$bin/doorstep-standin" deployment --listen 127.0.0.1:$base
+start deployment "$bin/doorstep-standin" deployment --listen 127.0.0.1:$base --replicas 2
 nodes=()
 for i in 0 1 2; do
 	cat >"$run/node-$i.yaml" <<SETTINGS
@@ -21,6 +21,7 @@
 listen: {requests: "127.0.0.1:$((base + 1 + i))", readiness: "127.0.0.1:$((base + 11 + i))", metrics: "127.0.0.1:$((base + 21 + i))"}
 store: {address: "127.0.0.1:$base"}
 orders: {pause_ms: 3000}
+duties: {address: "127.0.0.1:$base", kinds: "usage_reporting,autoscaling", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
 SETTINGS
 	"$bin/doorstepd" check-settings --settings "$run/node-$i.yaml"
@@ -37,6 +38,10 @@
 taken=$(cat "$run"/node-[12].log | grep -c '"event":902' || true)
 echo "node-0 was killed while its job ran; jobs taken over by others: $taken"
 
+until grep -q "usage of window.*houses" "$run/deployment.log" && grep -q "replicas ordered" "$run/deployment.log"; do sleep 0.1; done
+grep -m1 "usage of window.*houses" "$run/deployment.log"
+grep -m1 "replicas ordered" "$run/deployment.log"
+
 # An operator creates an experiment; its trainer pulls a step at both nodes, acknowledges
 # it, and publishes a version.
 doorstep() { "$bin/doorstep" --store 127.0.0.1:$base --operator demo "$@"; }
