Replicas are ordered only by a list that is known, and never fewer than were there

An order now needs a list that was known for 5 s without a break, and asks for no fewer than were listed within a minute, unless replicas are given back on purpose. TestNothingIsOrderedBeforeTheListIsKnown and TestLapsedReplicasAreNotTakenAway failed without these two.

--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -18,7 +18,9 @@
 	// again.
 	away   bool
 	backAt time.Time
-	kept   map[string]bool
+	// listedSince is since when the list is watched without a break, zero while it is not.
+	listedSince time.Time
+	kept        map[string]bool
 }
 
 // open reports whether a missing record may have run out for the store's sake.
@@ -32,6 +34,10 @@
 		n.lapses.backAt = now
 	}
 	n.lapses.away = !healthy
+	n.lapses.listedSince = time.Time{}
+	if healthy {
+		n.lapses.listedSince = now
+	}
 }
 
 // removeReplica drops a replica whose record is gone, unless it may have run out while the
--- a/internal/version/scaling/scaling.go
+++ b/internal/version/scaling/scaling.go
@@ -36,6 +36,12 @@
 	settleMargin = 3 * time.Second
 	// callLimit bounds a call to the platform.
 	callLimit = 900 * time.Millisecond
+	// listedFor is how long the list of replicas must have been known without a break: replicas
+	// write their records every second or so, and those that ran out are back within two.
+	listedFor = 5 * time.Second
+	// floorFor is how long an order that is not meant to take replicas away goes by the most that
+	// were listed: the list may lack some that are there.
+	floorFor = time.Minute
 	// refusedPause is the wait after a call that brought nothing.
 	refusedPause = 500 * time.Millisecond
 )
@@ -63,6 +69,9 @@
 	Lease *recordlease.Lease
 	// Services returns the services whose replicas can be ordered, as they are now.
 	Services func(now time.Time) []Service
+	// ListedSince returns since when the list of replicas is known without a break, zero while it
+	// is not.
+	ListedSince func() time.Time
 }
 
 // Scaler is the machine; it belongs to the node's loop.
@@ -71,13 +80,16 @@
 	nextAt  time.Time
 	// peaks holds each service's work of late, zones what was ordered.
 	peaks map[string]*peak
-	zones map[zoneKey]*order
+	zones map[zoneKey]*zoneState
 }
 
 type zoneKey struct{ service, zone string }
 
-// order is the last one for a zone.
-type order struct {
+// zoneState is what is known of a zone.
+type zoneState struct {
+	// listed holds how many replicas were listed of late.
+	listed *peak
+	// replicas is the number ordered last, at the time of the order.
 	replicas int
 	at       time.Time
 	busy     bool
@@ -86,7 +98,7 @@
 
 // New returns a machine that has ordered nothing.
 func New(options Options) *Scaler {
-	return &Scaler{options: options, peaks: map[string]*peak{}, zones: map[zoneKey]*order{}}
+	return &Scaler{options: options, peaks: map[string]*peak{}, zones: map[zoneKey]*zoneState{}}
 }
 
 // Tick orders what is due, if this node holds the lease.
@@ -113,19 +125,36 @@
 	}
 	known.note(now, service.Items)
 	for _, zone := range service.Zones {
-		wanted := s.wanted(now, service, zone, known)
-		if wanted != zone.Replicas {
+		state := s.zone(now, service, zone)
+		state.listed.note(now, zone.Replicas)
+		if wanted := s.wanted(now, service, zone, known); wanted != zone.Replicas && s.listed(now) {
 			s.order(now, service, zone, wanted)
 		}
 	}
 }
 
+func (s *Scaler) zone(now time.Time, service Service, zone Zone) *zoneState {
+	key := zoneKey{service.Name, zone.Name}
+	state := s.zones[key]
+	if state == nil {
+		state = &zoneState{listed: &peak{since: now}}
+		s.zones[key] = state
+	}
+	return state
+}
+
+// listed reports whether the list of replicas is known for long enough to order by it.
+func (s *Scaler) listed(now time.Time) bool {
+	since := s.options.ListedSince()
+	return !since.IsZero() && now.Sub(since) >= listedFor
+}
+
 // wanted returns how many replicas a zone should have.
 func (s *Scaler) wanted(now time.Time, service Service, zone Zone, work *peak) int {
 	bound := func(replicas int) int { return min(max(replicas, service.Min, 1), service.Max) }
 	needed := bound(replicasFor(work.most(now, peakFor), zone.Slots, len(service.Zones)))
 	if float64(needed) >= (1+growBy)*float64(zone.Replicas) || zone.Replicas < service.Min {
-		return needed
+		return bound(max(needed, s.zone(now, service, zone).listed.most(now, floorFor)))
 	}
 	if now.Sub(work.since) < shrinkAfter {
 		return zone.Replicas
@@ -145,12 +174,7 @@
 // order sets a zone's number of replicas. The same number is ordered again only once replicas
 // that were ordered before would have started.
 func (s *Scaler) order(now time.Time, service Service, zone Zone, wanted int) {
-	key := zoneKey{service.Name, zone.Name}
-	last := s.zones[key]
-	if last == nil {
-		last = &order{}
-		s.zones[key] = last
-	}
+	last := s.zone(now, service, zone)
 	repeated := last.replicas == wanted && now.Sub(last.at) < service.Boot+settleMargin
 	shrinking := wanted < last.replicas && now.Sub(last.at) < service.Boot+settleMargin
 	if last.busy || repeated || shrinking || now.Before(last.notAt) || !s.options.Lease.Act(now, service.Name+"/"+zone.Name) {
@@ -164,13 +188,16 @@
 	})
 }
 
-func (s *Scaler) onOrdered(now time.Time, service Service, zone Zone, wanted int, last *order, status port.DutyStatus) {
+func (s *Scaler) onOrdered(now time.Time, service Service, zone Zone, wanted int, last *zoneState, status port.DutyStatus) {
 	last.busy = false
 	s.options.Queue.Log(event.ReplicasOrdered, "service", service.Name, "zone", zone.Name, "replicas", wanted, "listed", zone.Replicas,
 		"items", service.Items, "status", status.String())
 	switch status {
 	case port.DutyDone:
 		last.replicas, last.at = wanted, now
+		if wanted < zone.Replicas {
+			last.listed = &peak{since: now}
+		}
 	case port.DutyFenced:
 		s.options.Lease.Fenced(s.options.Lease.Fence())
 	case port.DutyUnknown, port.DutyRefused, port.DutyUnavailable:
@@ -178,33 +205,33 @@
 	}
 }
 
-// peak holds how much work there was of late, by seconds.
+// peak holds how much there was of something of late, by seconds.
 type peak struct {
 	since   time.Time
 	seconds []second
 }
 
 type second struct {
-	at    time.Time
-	items int
+	at     time.Time
+	amount int
 }
 
-// note takes how many items are under way.
-func (p *peak) note(now time.Time, items int) {
+// note takes how much there is now.
+func (p *peak) note(now time.Time, amount int) {
 	if last := len(p.seconds) - 1; last >= 0 && now.Sub(p.seconds[last].at) < time.Second {
-		p.seconds[last].items = max(p.seconds[last].items, items)
+		p.seconds[last].amount = max(p.seconds[last].amount, amount)
 		return
 	}
-	p.seconds = append(p.seconds, second{now, items})
+	p.seconds = append(p.seconds, second{now, amount})
 	p.seconds = slices.DeleteFunc(p.seconds, func(one second) bool { return now.Sub(one.at) > shrinkAfter })
 }
 
-// most returns the most items that were under way within a span.
+// most returns the most that there was within a span.
 func (p *peak) most(now time.Time, within time.Duration) int {
 	most := 0
 	for _, one := range p.seconds {
 		if now.Sub(one.at) <= within {
-			most = max(most, one.items)
+			most = max(most, one.amount)
 		}
 	}
 	return most
--- a/internal/version/scaling/scaling_test.go
+++ b/internal/version/scaling/scaling_test.go
@@ -23,6 +23,8 @@
 	orders []port.ReplicaOrder
 	// starting are replicas that serve at a time.
 	starting []starting
+	// listedSince is since when the list of replicas is known without a break.
+	listedSince time.Time
 }
 
 type starting struct {
@@ -44,7 +46,11 @@
 	for i, replicas := range zones {
 		b.service.Zones = append(b.service.Zones, Zone{Name: string(rune('a' + i)), Replicas: replicas, Slots: 10})
 	}
-	b.scaler = New(Options{Self: "a", Queue: b.queue, Lease: b.lease, Services: func(time.Time) []Service { return []Service{b.service} }})
+	b.listedSince = b.now.Add(-time.Minute)
+	b.scaler = New(Options{
+		Self: "a", Queue: b.queue, Lease: b.lease, Services: func(time.Time) []Service { return []Service{b.service} },
+		ListedSince: func() time.Time { return b.listedSince },
+	})
 	return b
 }
 
@@ -170,3 +176,44 @@
 		t.Errorf("%+v", b.orders)
 	}
 }
+
+// TestNothingIsOrderedBeforeTheListIsKnown: an order names a number, so one that goes by a list
+// which is not whole yet takes replicas away.
+func TestNothingIsOrderedBeforeTheListIsKnown(t *testing.T) {
+	b := newBench(0, 0, 0)
+	b.listedSince = b.now
+	b.service.Items = 60
+	b.run(2 * time.Second)
+	for i := range b.service.Zones {
+		b.service.Zones[i].Replicas = 9
+	}
+	b.run(20 * time.Second)
+	if len(b.orders) != 0 {
+		t.Errorf("%+v", b.orders)
+	}
+}
+
+// TestLapsedReplicasAreNotTakenAway: while the store is away replicas' records run out, which says
+// nothing of the replicas.
+func TestLapsedReplicasAreNotTakenAway(t *testing.T) {
+	b := newBench(9)
+	b.service.Items = 60
+	b.run(10 * time.Second)
+	b.service.Zones[0].Replicas = 0
+	b.listedSince = time.Time{}
+	b.run(5 * time.Second)
+	if len(b.orders) != 0 {
+		t.Fatalf("ordered while the list is not known: %+v", b.orders)
+	}
+	b.listedSince = b.now
+	b.service.Zones[0].Replicas = 1
+	b.run(10 * time.Second)
+	for _, order := range b.orders {
+		if order.Replicas < 9 {
+			t.Errorf("%+v takes replicas away that were there a moment ago", order)
+		}
+	}
+	if b.replicas()[0] != 9 {
+		t.Errorf("%v replicas", b.replicas())
+	}
+}
