--- a/internal/simulation/clustersim/usage.go
+++ b/internal/simulation/clustersim/usage.go
@@ -39,7 +39,6 @@
 // dutyCall is a call to the platform that one node at a time makes.
 type dutyCall struct {
 	holder string
-	fence  int64
 	at     time.Time
 }
 
