--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -12,6 +12,8 @@
 listen: {requests: "127.0.0.1:1", readiness: "127.0.0.1:2"}
 store: {address: "127.0.0.1:3"}
 orders: {pause_ms: 3000}
+duties: {address: "127.0.0.1:4", kinds: "usage_reporting,something_else", fenced: true, calls_per_s: 50, usage_window_s: 5, usage_late_s: 10}
+tenants: {strict: true, revocation_ms: 5000}
 memory: {limit_mb: 300}
 log: {level: info, json: true}
 `
@@ -32,6 +34,12 @@
 		{"unknown field within", "limit_mb", "limit", "(file)"},
 		{"wrong type", "3000", "soon", "(file)"},
 		{"not YAML", "name:", "}name", "(file)"},
+		{"bad address of duties", `"127.0.0.1:4"`, "there", "duties.address"},
+		{"duties of no kind", `kinds: "usage_reporting,something_else", `, "", "duties.kinds"},
+		{"duties without a budget", "calls_per_s: 50, ", "", "duties.calls_per_s"},
+		{"negative window", "usage_window_s: 5", "usage_window_s: -5", "duties.usage_window_s"},
+		{"endless lateness", "usage_late_s: 10", "usage_late_s: 100000", "duties.usage_late_s"},
+		{"negative age of keys", "revocation_ms: 5000", "revocation_ms: -1", "tenants.revocation_ms"},
 		{"bad level", "level: info", "level: loud", "log.level"},
 	}
 	for _, c := range cases {
@@ -71,3 +79,17 @@
 		}
 	})
 }
+
+func TestDuties(t *testing.T) {
+	loaded, err := Load([]byte(good), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !loaded.Duties.Has(DutyUsage) || loaded.Duties.Has(DutyScaling) {
+		t.Errorf("%+v", loaded.Duties)
+	}
+	loaded.Duties.Address = ""
+	if loaded.Duties.Has(DutyUsage) {
+		t.Error("a platform without an address has no duties")
+	}
+}
