--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -110,8 +110,11 @@
 	return (most + service.EventTokens - 1) / service.EventTokens
 }
 
-// serviceOf returns the service that a route goes to first.
+// serviceOf returns the first service of a route, an empty one if the configuration names none.
 func (n *Node) serviceOf(route *port.Route) port.Service {
+	if len(route.Backends) == 0 {
+		return port.Service{}
+	}
 	service, _ := n.routes.Service(route.Backends[0].Service)
 	return service
 }
--- a/internal/process/cluster/place_test.go
+++ b/internal/process/cluster/place_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -45,3 +46,40 @@
 		}
 	}
 }
+
+// sizedDecoder tells of each request a prompt of 100 tokens, 1,000 at the most, and 300 expected.
+type sizedDecoder struct{ decoder }
+
+func (sizedDecoder) Tokens(http.Header) (prompt, most int) { return 100, 1000 }
+
+func (sizedDecoder) LengthHint(http.Header) int { return 300 }
+
+func TestExpectedTokens(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+	for _, c := range []struct {
+		name    string
+		service port.Service
+		route   *port.Route
+		events  int
+		tokens  int
+		most    int
+	}{
+		{"by the hint", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 0, 400, 100},
+		{"by what there is of the text", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 50, 750, 100},
+		{"the most that it may make", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 99, 1100, 100},
+		{"the last event is not full", port.Service{Name: "s", EventTokens: 300, MemoryTokens: 5000}, route, 0, 400, 4},
+		{"events' tokens are not told", port.Service{Name: "s", MemoryTokens: 5000}, route, 0, 0, 0},
+		{"the memory is not told", port.Service{Name: "s", EventTokens: 10}, route, 0, 0, 100},
+		{"a route without a service", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, &port.Route{Name: "r"}, 0, 0, 0},
+	} {
+		n := newNode()
+		n.options.Decoder = sizedDecoder{}
+		n.apply(start, &port.RouteTable{Version: 1, Services: []port.Service{c.service}})
+		if got := n.expectedTokens(c.route, nil, c.events); got != c.tokens {
+			t.Errorf("%s: %d tokens, should be %d", c.name, got, c.tokens)
+		}
+		if got := n.mostEvents(c.route, nil); got != c.most {
+			t.Errorf("%s: %d events at the most, should be %d", c.name, got, c.most)
+		}
+	}
+}
--- a/internal/process/endpoint/endpoint_test.go
+++ b/internal/process/endpoint/endpoint_test.go
@@ -169,3 +169,25 @@
 		}
 	}
 }
+
+func TestLongTextsSpreadOverMemory(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		memory int
+		want   string
+	}{
+		{"to the one with more memory left", 20_000, "empty"},
+		{"memory that is not told decides nothing", 0, "holding"},
+	} {
+		holding, empty := usable("holding"), usable("empty")
+		holding.Tokens, holding.InFlight = 15_000, 1
+		empty.Tokens, empty.InFlight = 1_000, 1
+		empty.Zone = "y"
+		query := &Query{Now: now, Zone: "z", Model: "m", Room: 1.5, Tokens: 8_000, MemoryTokens: c.memory}
+		for name, profile := range map[string]*Profile{"long": &LongRollouts, "other": &Rollouts} {
+			if got := profile.Pick(query, []*Endpoint{holding, empty}); got == nil || got.ID != c.want {
+				t.Errorf("%s, %s: %v", c.name, name, got)
+			}
+		}
+	}
+}
--- a/internal/version/routes/routes_test.go
+++ b/internal/version/routes/routes_test.go
@@ -59,3 +59,17 @@
 		}
 	}
 }
+
+func TestTenantsByKey(t *testing.T) {
+	table := New(&port.RouteTable{Version: 3, Tenants: []port.Tenant{
+		{Name: "red", Keys: []port.KeyDigest{port.DigestKey("r1"), port.DigestKey("r2")}}, {Name: "blue"},
+	}})
+	for key, want := range map[string]string{"r1": "red", "r2": "red", "r": "", "": "", "blue": ""} {
+		if got, known := table.Tenant(port.DigestKey(key)); got != want || known != (want != "") {
+			t.Errorf("key %q is held by %q, known %t", key, got, known)
+		}
+	}
+	if !table.HasTenants() || New(&port.RouteTable{Version: 3}).HasTenants() {
+		t.Error("callers are told apart where there are tenants, and only there")
+	}
+}
