--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -18,6 +18,7 @@
 	"github.com/doorstep/doorstep/internal/version/batch"
 	"github.com/doorstep/doorstep/internal/version/configuration"
 	"github.com/doorstep/doorstep/internal/version/experiment"
+	"github.com/doorstep/doorstep/internal/version/usage"
 )
 
 // silentAfter is the age at which a node's status no longer says that it runs: nodes tell
@@ -56,6 +57,8 @@
 		return g.samples()
 	case "leases":
 		return g.leases()
+	case "usage":
+		return g.usage()
 	case "drains":
 		return g.drains()
 	case "routes":
@@ -293,6 +296,9 @@
 func (g *gathering) leases() [][]string {
 	var rows [][]string
 	for _, record := range g.read(port.SharedTable, cluster.LeasePartition, "") {
+		if record.Key == cluster.UsageClockKey {
+			continue
+		}
 		lease := &doorstepv1.OrderLease{}
 		g.decode(record, lease)
 		rows = append(rows, []string{record.Key, lease.Holder, strconv.FormatBool(lease.Ordering)})
@@ -300,6 +306,19 @@
 	return rows
 }
 
+// usage lists what was reported, or is about to be, by window and tenant.
+func (g *gathering) usage() [][]string {
+	var rows [][]string
+	for _, record := range g.read(usage.Table, usage.ReportPartition, "") {
+		report := &doorstepv1.UsageReport{}
+		g.decode(record, report)
+		for _, tenant := range slices.Sorted(maps.Keys(report.Requests)) {
+			rows = append(rows, []string{strings.TrimLeft(record.Key, "0"), tenant, strconv.FormatInt(report.Requests[tenant], 10), strconv.FormatBool(report.Accepted)})
+		}
+	}
+	return rows
+}
+
 func (g *gathering) drains() [][]string {
 	var rows [][]string
 	for _, drain := range g.configuration().Drains {
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -14,9 +14,11 @@
 
 // Keys of the records in LeasePartition.
 const (
+	// UsageClockKey is that of the clock of the reports of use; all others are leases.
+	UsageClockKey = "usage-clock"
+
 	orderLeaseKey   = "version-orders"
 	usageLeaseKey   = "usage"
-	usageClockKey   = "usage-clock"
 	scalingLeaseKey = "scaling"
 )
 
@@ -59,7 +61,7 @@
 	d := &usageDuty{clock: usage.Clock{Windows: windows}, lease: n.newLease(usageLeaseKey, recordlease.Unhurried, n.options.Duties.Fenced)}
 	d.keeper = &usage.ClockKeeper{
 		Queue: n.queue, Lease: d.lease, Clock: &d.clock, StartedAt: n.startedAt, StoreClock: n.clock.reading,
-		Key:      port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: usageClockKey},
+		Key:      port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: UsageClockKey},
 		Nodes:    port.RecordRange{Table: StatusTable, Partition: StatusTable},
 		OffsetOf: wallOffsetOf,
 	}
@@ -142,7 +144,7 @@
 
 // onLeaseRecord takes a record of LeasePartition.
 func (n *Node) onLeaseRecord(now time.Time, record port.Record) {
-	if record.Key == usageClockKey {
+	if record.Key == UsageClockKey {
 		if n.usage != nil {
 			n.usage.keeper.OnRecord(record)
 		}
--- a/internal/request/query/query.go
+++ b/internal/request/query/query.go
@@ -22,6 +22,7 @@
 	"jobs":        {"job", "policy", "owner", "listed", "total", "state", "age_s"},
 	"samples":     {"experiment", "trainer", "step", "attempt", "policy", "listed", "samples", "state"},
 	"leases":      {"lease", "holder", "ordering"},
+	"usage":       {"window", "tenant", "requests", "accepted"},
 	"drains":      {"kind", "name"},
 	"routes":      {"route", "host", "path", "kind", "services", "timeout", "attempts"},
 	"history":     {"revision", "from", "operator", "time", "token", "statement"},
--- a/internal/version/usage/reporter.go
+++ b/internal/version/usage/reporter.go
@@ -141,7 +141,7 @@
 // load reads which windows were reported.
 func (r *Reporter) load(fence int64) {
 	r.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: Table, Partition: reportPartition},
+		Query: port.RecordRange{Table: Table, Partition: ReportPartition},
 		Done: r.do(fence, func(_ time.Time, result port.RecordResult) {
 			r.loaded = true
 			r.next = r.options.Clock.first
--- a/internal/version/usage/usage.go
+++ b/internal/version/usage/usage.go
@@ -23,9 +23,9 @@
 const (
 	// Table holds the counts and reports.
 	Table = "usage"
-	// reportPartition holds the reports, countPartitions is over how many others the counts
+	// ReportPartition holds the reports, by the windows' numbers; countPartitions is over how many others the counts
 	// are spread: the store bounds the writes of one partition.
-	reportPartition = "reports"
+	ReportPartition = "reports"
 	countPartitions = 4
 )
 
@@ -71,7 +71,7 @@
 func countPartition(number int) string { return fmt.Sprintf("counts-%d", number) }
 
 func reportKey(window int64) port.RecordKey {
-	return port.RecordKey{Table: Table, Partition: reportPartition, Key: fmt.Sprintf("%012d", window)}
+	return port.RecordKey{Table: Table, Partition: ReportPartition, Key: fmt.Sprintf("%012d", window)}
 }
 
 // encode encodes a document that can't fail to.
--- a/internal/version/usage/usage_test.go
+++ b/internal/version/usage/usage_test.go
@@ -242,7 +242,7 @@
 	var late []port.RecordTransaction
 	lost := 0
 	n.answer = func(one task.Commit) (port.RecordResult, bool) {
-		if len(one.Transaction.Puts) == 0 || one.Transaction.Puts[0].Partition == reportPartition || one.Transaction.Puts[0].Table != Table || lost >= 3 {
+		if len(one.Transaction.Puts) == 0 || one.Transaction.Puts[0].Partition == ReportPartition || one.Transaction.Puts[0].Table != Table || lost >= 3 {
 			return port.RecordResult{}, false
 		}
 		lost++
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,6 +45,7 @@
 # An operator creates an experiment; its trainer pulls a step at both nodes, acknowledges
 # it, and publishes a version.
 doorstep() { "$bin/doorstep" --store 127.0.0.1:$base --operator demo "$@"; }
+doorstep exec 'show usage; show leases'
 doorstep prompts put stories "$(dirname "$0")/../prompts/narratives.txt"
 doorstep exec 'create experiment screen with policy narrator service generator prompts stories trainers houses samples 16 staleness 2 max_tokens 64 scoring scorer'
 step=/v1/experiments/screen/trainers/houses/steps/1
