--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,8 +38,18 @@
 taken=$(cat "$run"/node-[12].log | grep -c '"event":902' || true)
 echo "node-0 was killed while its job ran; jobs taken over by others: $taken"
 
-until grep -q "usage of window.*houses" "$run/deployment.log" && grep -q "replicas ordered" "$run/deployment.log"; do sleep 0.1; done
+# request PORT METHOD PATH [BODY [ID]] writes an answer's body and fails unless it is a success.
+request() { "$bin/doorstep-standin" request --address "127.0.0.1:$1" --method "$2" --path "$3" --body "${4:-}" --id "${5:-}"; }
+until grep -q "usage of window.*houses" "$run/deployment.log"; do sleep 0.1; done
 grep -m1 "usage of window.*houses" "$run/deployment.log"
+
+# Jobs of 60 items want more than the two replicas of the model, so others are ordered.
+items() { for i in $(seq 60); do printf '%s{"id":"%s-%d","path":"/batch/y","body":"","headers":{"X-Model-Name":"narrator"}}' "${comma:-}" "$1" "$i"; comma=,; done; }
+for job in $(seq 100); do
+	! grep -q "replicas ordered" "$run/deployment.log" || break
+	request $((base + 2)) POST /batch/x "{\"model\":\"narrator\",\"min_version\":1,\"requests\":[$(items "work-$job")]}" "work-$job"
+	sleep 0.3
+done
 grep -m1 "replicas ordered" "$run/deployment.log"
 
 # An operator creates an experiment; its trainer pulls a step at both nodes, acknowledges
@@ -49,8 +59,6 @@
 doorstep prompts put stories "$(dirname "$0")/../prompts/narratives.txt"
 doorstep exec 'create experiment screen with policy narrator service generator prompts stories trainers houses samples 16 staleness 2 max_tokens 64 scoring scorer'
 step=/v1/experiments/screen/trainers/houses/steps/1
-# request PORT METHOD PATH [BODY] writes an answer's body and fails unless it is a success.
-request() { "$bin/doorstep-standin" request --address "127.0.0.1:$1" --method "$2" --path "$3" --body "${4:-}"; }
 until request $((base + 2)) GET "$step?wait=5s" >"$run/first.json" 2>/dev/null; do sleep 0.1; done
 request $((base + 3)) GET "$step?wait=5s" >"$run/second.json"
 cmp "$run/first.json" "$run/second.json"
