--- a/internal/process/agent/duties.go
+++ b/internal/process/agent/duties.go
@@ -10,7 +10,6 @@
 	"github.com/doorstep/doorstep/internal/process/cluster"
 	"github.com/doorstep/doorstep/internal/process/settings"
 	"github.com/doorstep/doorstep/internal/process/task"
-	"github.com/doorstep/doorstep/internal/request/relay"
 	"github.com/doorstep/doorstep/internal/version/usage"
 )
 
@@ -62,9 +61,3 @@
 	status := a.duties.call(a.base, t.Limit, func(ctx context.Context) port.DutyStatus { return a.duties.service.OrderReplicas(ctx, t.Order) })
 	a.do(func(now time.Time) { t.Done(now, status) })
 }
-
-// mayHaveRun reports whether an attempt's request began to run at its replica, as far as this
-// node can tell: one that was sent and not turned away did.
-func (ended *attempt) mayHaveRun() bool {
-	return ended.outcome != relay.NotRun
-}
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -36,6 +36,12 @@
 	err      error
 }
 
+// mayHaveRun reports whether an attempt's request began to run at its replica, as far as this
+// node can tell: one that was sent and not turned away did.
+func (ended *attempt) mayHaveRun() bool {
+	return ended.outcome != relay.NotRun
+}
+
 // exchange is one caller's request on its way.
 type exchange struct {
 	agent   *Agent
