Streams count as they begin; counts from before the clock was known are waited for

Cause: a stream was counted at its end, which may be later than its window's report; and a holder added the first windows up as soon as it had set the clock, before the other nodes had heard of it and written what they had counted until then. Found by TestUseIsReported (windows of 1 s), which failed before: all requests of the first second were missing from the reports.

--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -36,12 +36,6 @@
 	err      error
 }
 
-// mayHaveRun reports whether an attempt's request began to run at its replica, as far as this
-// node can tell: one that was sent and not turned away did.
-func (ended *attempt) mayHaveRun() bool {
-	return ended.outcome != relay.NotRun
-}
-
 // exchange is one caller's request on its way.
 type exchange struct {
 	agent   *Agent
@@ -163,19 +157,26 @@
 			chosen.LearnLoad(now, running, waiting)
 		}
 		x.account(now, ended, now.Sub(startedAt), ctx.Err() != nil)
-		x.count(now, startedAt, ended)
+		x.count(now, startedAt, ended.outcome)
 	})
 	return ended
 }
 
-// count counts a request that began to run for its tenant, as of when it was sent: on its way
-// and in a replica's queue it spends milliseconds.
-func (x *exchange) count(now, sentAt time.Time, ended *attempt) {
-	if ended.mayHaveRun() {
+// count counts a request for its tenant, as of when it was sent, if it began to run as far as
+// this node can tell: one that was sent and not turned away did. On its way and in a replica's
+// queue it spends milliseconds.
+func (x *exchange) count(now, sentAt time.Time, outcome relay.Outcome) {
+	if outcome != relay.NotRun {
 		x.agent.node.CountRequest(now, sentAt, x.caller.tenant)
 	}
 }
 
+// countBegun is count for a stream, which is counted as soon as it begins: it may outlast the
+// time in which counts are of use.
+func (x *exchange) countBegun(sentAt time.Time, outcome relay.Outcome) {
+	x.agent.do(func(now time.Time) { x.count(now, sentAt, outcome) })
+}
+
 // account tells the endpoint how the attempt fared. An attempt that was cancelled says
 // nothing of the replica, unless it was answered.
 func (x *exchange) account(now time.Time, ended *attempt, took time.Duration, cancelled bool) {
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -74,15 +74,12 @@
 	}
 	s.relay.Launched(now)
 	s.launched++
-	sentAt := time.Now()
 	outcome, err := s.pass(ctx, chosen)
 	s.relay.Ended(outcome)
 	s.agent.metrics.attempt(outcome)
 	s.agent.do(func(now time.Time) {
 		chosen.InFlight--
-		ended := &attempt{endpoint: chosen, outcome: outcome, err: err}
-		s.account(now, ended, now.Sub(s.started), ctx.Err() != nil)
-		s.count(now, sentAt, ended)
+		s.account(now, &attempt{endpoint: chosen, outcome: outcome, err: err}, now.Sub(s.started), ctx.Err() != nil)
 	})
 	if outcome != relay.Answered {
 		s.agent.log.add(event.AttemptEnded, "request", s.id, "replica", chosen.ID, "outcome", int(outcome), "error", errorText(err),
@@ -96,11 +93,16 @@
 	if s.begun {
 		s.agent.protocol.Resume(call.Header, strconv.FormatInt(s.last, 10))
 	}
+	sentAt := time.Now()
 	answer, err := s.agent.upstream.Do(ctx, call)
 	if err != nil {
+		s.countBegun(sentAt, failedOutcome(err))
 		return failedOutcome(err), err
 	}
 	defer answer.Close()
+	if !s.agent.protocol.NotExecuted(answer.Status, answer.Header) {
+		s.countBegun(sentAt, relay.Answered)
+	}
 	if answer.Status != http.StatusOK || !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) {
 		return s.passWhole(chosen, answer)
 	}
--- a/internal/version/usage/clock.go
+++ b/internal/version/usage/clock.go
@@ -90,9 +90,10 @@
 	if k.Clock.known && (offset-k.Clock.offset).Abs() < adjustFrom {
 		return
 	}
-	next := &doorstepv1.UsageClock{OffsetMs: offset.Milliseconds(), FirstWindow: k.Clock.first}
+	next := &doorstepv1.UsageClock{OffsetMs: offset.Milliseconds(), FirstWindow: k.Clock.first, SetAtMs: k.Clock.setAt.Milliseconds()}
 	if !k.Clock.known {
 		started := at - now.Sub(k.StartedAt)
+		next.SetAtMs = at.Milliseconds()
 		next.FirstWindow = int64((started + offset) / k.Clock.Length)
 	}
 	record := port.Record{RecordKey: k.Key, Value: encode(next)}
--- a/internal/version/usage/reporter.go
+++ b/internal/version/usage/reporter.go
@@ -20,6 +20,10 @@
 	// nodes that can't reach the store deliver them until then, and the rest is for the report
 	// itself.
 	gatherPart = 0.55
+	// clockHeardWithin is how long after the clock was first set a holder waits before it adds
+	// counts up: other nodes hear of the clock by their watches, and only then write what they
+	// counted before.
+	clockHeardWithin = 3 * time.Second
 	// retryPause and mostRetryPause bound the pause after a call that brought nothing.
 	retryPause     = 100 * time.Millisecond
 	mostRetryPause = time.Second
@@ -81,7 +85,7 @@
 func (r *Reporter) Tick(now time.Time) {
 	lease := r.options.Lease
 	at, known := r.options.StoreClock(now)
-	if !lease.Held(now) || !known || !r.options.Clock.known {
+	if !lease.Held(now) || !known || !r.options.Clock.heard(at) {
 		return
 	}
 	if lease.Fence() != r.fence {
--- a/internal/version/usage/usage.go
+++ b/internal/version/usage/usage.go
@@ -45,6 +45,8 @@
 	offset time.Duration
 	// first is the first window that is reported.
 	first int64
+	// setAt is when the clock was first set, by the store's clock.
+	setAt time.Duration
 }
 
 // Set takes the clock's record.
@@ -56,9 +58,13 @@
 	c.known = !record.Deleted
 	c.offset = time.Duration(decoded.OffsetMs) * time.Millisecond
 	c.first = decoded.FirstWindow
+	c.setAt = time.Duration(decoded.SetAtMs) * time.Millisecond
 	return nil
 }
 
+// heard reports whether all nodes have heard of the clock by a reading of the store's.
+func (c *Clock) heard(at time.Duration) bool { return c.known && at >= c.setAt+clockHeardWithin }
+
 // window returns the window that a reading of the store's clock falls into.
 func (c *Clock) window(at time.Duration) int64 { return int64((at + c.offset) / c.Length) }
 
