No watch without a pause for held reads

Each caller that waits for a result made its node read the shared table without the pause in which changes gather, and results that are held back make more callers wait, so that the store's reads were spent while all nodes started. Ruled out: the memory scorer (30 s without it as well). The mechanism goes with its test; holding back and the memory stay.

--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -181,12 +181,6 @@
 	return waiter
 }
 
-func (a *Agent) await(callers int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.node.Await(callers)
-}
-
 func (a *Agent) waitChange(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
 	left := time.Until(until)
 	if left <= 0 {
@@ -194,8 +188,6 @@
 	}
 	timer := time.NewTimer(left)
 	defer timer.Stop()
-	a.await(1)
-	defer a.await(-1)
 	select {
 	case <-changed:
 		return true
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -86,8 +86,6 @@
 	startedAt  time.Time
 	stoppingAt time.Time
 	rotation   uint64
-	// awaited counts the callers that wait for a change of a batch job.
-	awaited int
 }
 
 // New returns a node that knows nothing yet.
@@ -128,9 +126,6 @@
 	return n.shared.ObservedUntil(now)
 }
 
-// Await notes that a caller waits for a change of a batch job, or with -1 that it no longer does.
-func (n *Node) Await(callers int) { n.awaited += callers }
-
 // Take returns the tasks left since the last call.
 func (n *Node) Take() []task.Task { return n.queue.Take() }
 
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -56,8 +56,7 @@
 	n.shared = recordwatch.New(recordwatch.Options{
 		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(),
 		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
-		Awaited: func() bool { return n.awaited > 0 },
-		OnList:  n.onShared, OnChange: n.onShared, OnHealth: n.onSharedHealth,
+		OnList: n.onShared, OnChange: n.onShared, OnHealth: n.onSharedHealth,
 	})
 	n.watches = append(n.watches, n.shared)
 }
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -39,9 +39,6 @@
 	// MostGather with each call that the store refuses at first: all nodes share its budget,
 	// so each finds the pace that it bears. A watch whose two are equal yields to none.
 	Gather, MostGather time.Duration
-	// Awaited, unless nil, reports whether somebody waits for a change: then none is gathered
-	// beyond what the store's refusals demand.
-	Awaited func() bool
 	// Jitter, from 0 to 1, spreads the nodes' calls.
 	Jitter float64
 	// OnList takes the whole table, OnChange records that changed.
@@ -209,7 +206,7 @@
 	w.after = max(w.after, result.Revision)
 	if len(result.Records) > 0 {
 		w.options.OnChange(now, result.Records)
-		w.nextAt = now.Add(w.gatherFor())
+		w.nextAt = now.Add(w.gather)
 	}
 	w.next(now)
 	if w.options.Reread > 0 && now.Sub(w.listedAt) >= w.rereadAfter() {
@@ -218,14 +215,6 @@
 	w.Tick(now)
 }
 
-// gatherFor returns the pause in which changes gather.
-func (w *Watch) gatherFor() time.Duration {
-	if w.options.Awaited != nil && w.options.Awaited() {
-		return w.gather - w.options.Gather
-	}
-	return w.gather
-}
-
 // rereadAfter spreads the nodes' whole reads over half of their interval.
 func (w *Watch) rereadAfter() time.Duration {
 	return w.options.Reread/2 + time.Duration((1+w.options.Jitter)/2*float64(w.options.Reread)/2)
--- a/internal/process/recordwatch/recordwatch_test.go
+++ b/internal/process/recordwatch/recordwatch_test.go
@@ -209,39 +209,3 @@
 		t.Errorf("between two calls nothing is heard: %s", got)
 	}
 }
-
-// TestAwaitedChangesAreNotGathered: the next call follows at once while somebody waits.
-func TestAwaitedChangesAreNotGathered(t *testing.T) {
-	awaited := false
-	queue := &task.Queue{}
-	w := New(Options{
-		Table: "t", Partitions: []string{"p"}, Queue: queue, Gather: 40 * time.Millisecond, MostGather: time.Second, Awaited: func() bool { return awaited },
-		OnList: func(time.Time, []port.Record) {}, OnChange: func(time.Time, []port.Record) {}, OnHealth: func(time.Time, bool) {},
-	})
-	now := time.Unix(1000, 0)
-	w.Tick(now)
-	queue.Take()[0].(task.Range).Done(now, port.RecordResult{Status: port.RecordDone, Revision: 5})
-	change := port.RecordResult{Status: port.RecordDone, Revision: 6, Records: []port.Record{{Revision: 6}}}
-	watching := func() (task.Watch, bool) {
-		for _, one := range queue.Take() {
-			if call, ok := one.(task.Watch); ok {
-				return call, true
-			}
-		}
-		return task.Watch{}, false
-	}
-	call, _ := watching()
-	call.Done(now, change)
-	if _, made := watching(); made {
-		t.Error("changes are gathered while nobody waits")
-	}
-	now = now.Add(50 * time.Millisecond)
-	w.Tick(now)
-	call, _ = watching()
-	awaited = true
-	change.Revision = 7
-	call.Done(now, change)
-	if _, made := watching(); !made {
-		t.Error("the next call waits although somebody waits for a change")
-	}
-}
