Who is let in by a key is decided without a clock or I/O

Cause: the decision stood in the daemon, beside a reading of the wall clock, where neither the simulator nor a table could drive it. It is a pure function of the tenants, the key and the configuration's age now (internal/request/access), and the daemon maps its verdict to an answer.

--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -14,6 +14,7 @@
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/request/access"
 	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
@@ -41,7 +42,7 @@
 	agent   *Agent
 	request *http.Request
 	route   *port.Route
-	caller  caller
+	caller  access.Caller
 	id      string
 	body    []byte
 	relay   *relay.Relay
@@ -53,7 +54,7 @@
 	started  time.Time
 }
 
-func (a *Agent) newExchange(r *http.Request, route *port.Route, who caller, id string, body []byte) *exchange {
+func (a *Agent) newExchange(r *http.Request, route *port.Route, who access.Caller, id string, body []byte) *exchange {
 	now := time.Now()
 	wait, _ := a.protocol.Deadline(r.Header)
 	return &exchange{
@@ -167,7 +168,7 @@
 // queue it spends milliseconds.
 func (x *exchange) count(now, sentAt time.Time, outcome relay.Outcome) {
 	if outcome != relay.NotRun {
-		x.agent.node.CountRequest(now, sentAt, x.caller.tenant)
+		x.agent.node.CountRequest(now, sentAt, x.caller.Tenant)
 	}
 }
 
--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -9,6 +9,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/request/access"
 	"github.com/doorstep/doorstep/internal/version/batch"
 	"github.com/doorstep/doorstep/internal/version/routes"
 )
@@ -21,7 +22,7 @@
 )
 
 // acceptJob takes a batch job; it is answered once it stands in the store.
-func (a *Agent) acceptJob(w http.ResponseWriter, r *http.Request, route *port.Route, who caller, id string, body []byte) {
+func (a *Agent) acceptJob(w http.ResponseWriter, r *http.Request, route *port.Route, who access.Caller, id string, body []byte) {
 	if r.Method != http.MethodPost {
 		a.refuse(w, id, http.StatusMethodNotAllowed, 0, "a batch job is handed in by POST")
 		return
@@ -34,7 +35,7 @@
 		a.refuse(w, id, http.StatusBadRequest, 0, err.Error())
 		return
 	}
-	job.Route, job.Host, job.Path, job.Tenant = route.Name, r.Host, r.URL.Path, who.tenant
+	job.Route, job.Host, job.Path, job.Tenant = route.Name, r.Host, r.URL.Path, who.Tenant
 	outcome := wait(r.Context(), func(done chan<- batch.Outcome) {
 		a.do(func(now time.Time) {
 			a.node.Jobs().Accept(now, job, func(_ time.Time, outcome batch.Outcome) { done <- outcome })
@@ -111,12 +112,12 @@
 	if !table.HasTenants() {
 		return true
 	}
-	who, refusal := a.identify(table, r.Header, false)
-	if refusal != nil {
+	who, verdict := a.identify(table, r.Header, false)
+	if verdict != access.Admitted {
 		if state, known := a.knownJob(call.Job); known && state.Tenant == "" {
 			return true
 		}
-		a.refuseKey(w, call.Job, refusal)
+		a.refuseKey(w, call.Job, verdict)
 		return false
 	}
 	read := wait(r.Context(), func(done chan<- jobReading) {
@@ -125,7 +126,7 @@
 				func(outcome batch.Outcome) { done <- jobReading{outcome: outcome} })
 		})
 	})
-	if read.outcome == batch.Done && !who.mayUse(read.state.Tenant) {
+	if read.outcome == batch.Done && !who.MayUse(read.state.Tenant) {
 		read.outcome = batch.Absent
 	}
 	if read.outcome != batch.Done {
--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -70,7 +70,7 @@
 	if !ok {
 		return
 	}
-	a.trainers.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), tenantOfTrainer{}, who.tenant)))
+	a.trainers.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), tenantOfTrainer{}, who.Tenant)))
 }
 
 func stepOf(r *http.Request) (experiment.Step, bool) {
--- /dev/null
+++ b/internal/request/access/access_test.go
@@ -0,0 +1,73 @@
+package access
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+// keys are tenants by their keys.
+type keys map[port.KeyDigest]string
+
+func (k keys) HasTenants() bool { return k != nil }
+
+func (k keys) Tenant(key port.KeyDigest) (string, bool) {
+	name, known := k[key]
+	return name, known
+}
+
+func TestJudge(t *testing.T) {
+	red := keys{port.DigestKey("r"): "red"}
+	known := Call{Key: port.DigestKey("r"), Given: true}
+	unknown := Call{Key: port.DigestKey("x"), Given: true}
+	anonymous := func(call Call) Call {
+		call.Anonymous = true
+		return call
+	}
+	strict := Policy{Strict: true, Revocation: time.Second}
+	for _, c := range []struct {
+		name    string
+		policy  Policy
+		tenants keys
+		call    Call
+		age     time.Duration
+		tenant  string
+		verdict Verdict
+	}{
+		{"no tenants", Policy{}, nil, unknown, time.Hour, "", Admitted},
+		{"no tenants, strict", strict, nil, Call{}, time.Hour, "", Admitted},
+		{"a known key", Policy{}, red, known, 0, "red", Admitted},
+		{"a known key, the store away", Policy{}, red, known, time.Hour, "red", Admitted},
+		{"a known key, strict", strict, red, known, time.Second - 1, "red", Admitted},
+		{"a known key, strict, the store away", strict, red, known, time.Second, "red", Unconfirmed},
+		{"a known key where none is needed, strict, the store away", strict, red, anonymous(known), time.Second, "red", Unconfirmed},
+		{"no key", Policy{}, red, Call{}, 0, "", NoKey},
+		{"no key, the store away", strict, red, Call{}, time.Hour, "", NoKey},
+		{"no key where none is needed", strict, red, anonymous(Call{}), time.Hour, "", Admitted},
+		{"an unknown key", Policy{}, red, unknown, confirmedWithin, "", UnknownKey},
+		{"an unknown key, the store away", Policy{}, red, unknown, confirmedWithin + 1, "", Unconfirmed},
+		{"an unknown key where none is needed", Policy{}, red, anonymous(unknown), time.Hour, "", Admitted},
+		{"a tenant without keys", Policy{}, keys{}, known, 0, "", UnknownKey},
+	} {
+		who, verdict := c.policy.Judge(c.tenants, c.call, c.age)
+		if who.Tenant != c.tenant || verdict != c.verdict || who.Told != (c.tenants != nil) {
+			t.Errorf("%s: %+v, verdict %d, should be %q, %d", c.name, who, verdict, c.tenant, c.verdict)
+		}
+	}
+}
+
+func TestMayUse(t *testing.T) {
+	for _, c := range []struct {
+		who    Caller
+		tenant string
+		may    bool
+	}{
+		{Caller{}, "red", true}, {Caller{Told: true, Tenant: "red"}, "red", true}, {Caller{Told: true, Tenant: "red"}, "blue", false},
+		{Caller{Told: true}, "blue", false}, {Caller{Told: true}, "", true},
+	} {
+		if c.who.MayUse(c.tenant) != c.may {
+			t.Errorf("%+v may use %q: should be %t", c.who, c.tenant, c.may)
+		}
+	}
+}
