--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -221,7 +221,7 @@
 	}
 	n.stoppingAt = now
 	n.queue.Log(event.ProcessStopping, "node", n.options.Name)
-	for _, lease := range n.leases {
+	for _, lease := range n.sortedLeases() {
 		lease.Resign(now)
 	}
 	n.jobs.Stop(now)
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -57,6 +59,16 @@
 	return lease
 }
 
+// sortedLeases returns all leases in the order of their keys, so that two runs of the simulator
+// do the same.
+func (n *Node) sortedLeases() []*recordlease.Lease {
+	var list []*recordlease.Lease
+	for _, key := range slices.Sorted(maps.Keys(n.leases)) {
+		list = append(list, n.leases[key])
+	}
+	return list
+}
+
 func (n *Node) newUsageDuty(windows usage.Windows) *usageDuty {
 	d := &usageDuty{clock: usage.Clock{Windows: windows}, lease: n.newLease(usageLeaseKey, recordlease.Unhurried, n.options.Duties.Fenced)}
 	d.keeper = &usage.ClockKeeper{
@@ -91,12 +103,15 @@
 
 func (n *Node) newScalingDuty() *scalingDuty {
 	d := &scalingDuty{lease: n.newLease(scalingLeaseKey, recordlease.Unhurried, n.options.Duties.Fenced)}
-	d.scaler = scaling.New(scaling.Options{Self: n.options.Name, Queue: n.queue, Lease: d.lease, Services: n.scaledServices, ListedSince: func() time.Time { return n.lapses.listedSince }})
+	d.scaler = scaling.New(scaling.Options{
+		Self: n.options.Name, Queue: n.queue, Lease: d.lease, Services: n.scaledServices,
+		ListedSince: func() time.Time { return n.lapses.listedSince },
+	})
 	return d
 }
 
 // scaledServices returns the services whose replicas can be ordered.
-func (n *Node) scaledServices(time.Time) []scaling.Service {
+func (n *Node) scaledServices() []scaling.Service {
 	if n.routes == nil {
 		return nil
 	}
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -64,7 +64,7 @@
 // onSharedHealth notes that the watch of the shared table broke or is whole again.
 func (n *Node) onSharedHealth(now time.Time, healthy bool) {
 	n.jobs.Observing(now, healthy)
-	for _, lease := range n.leases {
+	for _, lease := range n.sortedLeases() {
 		lease.Observing(now, healthy)
 	}
 }
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -30,7 +30,7 @@
 	return total
 }
 
-// Outstanding counts, by model, the items of jobs that are neither listed nor needed no more.
+// Outstanding counts, by model, the items of open jobs that have no position yet.
 func (j *Jobs) Outstanding() map[string]int {
 	outstanding := map[string]int{}
 	for _, known := range j.heads {
--- a/internal/version/scaling/scaling.go
+++ b/internal/version/scaling/scaling.go
@@ -49,7 +49,8 @@
 // Zone is what is known of a service's replicas in one zone.
 type Zone struct {
 	Name string
-	// Replicas counts those that stay, Slots is what one of them runs at once.
+	// Replicas counts those that stay, Slots is what one of them runs at once, 0 if none is listed
+	// anywhere.
 	Replicas, Slots int
 }
 
@@ -68,7 +69,7 @@
 	Queue *task.Queue
 	Lease *recordlease.Lease
 	// Services returns the services whose replicas can be ordered, as they are now.
-	Services func(now time.Time) []Service
+	Services func() []Service
 	// ListedSince returns since when the list of replicas is known without a break, zero while it
 	// is not.
 	ListedSince func() time.Time
@@ -112,7 +113,7 @@
 		return
 	}
 	s.nextAt = now.Add(lookEvery)
-	for _, service := range s.options.Services(now) {
+	for _, service := range s.options.Services() {
 		s.tickService(now, service)
 	}
 }
@@ -166,9 +167,13 @@
 	return zone.Replicas
 }
 
-// replicasFor returns how many replicas a zone needs for its share of items.
+// replicasFor returns how many replicas a zone needs for its share of items, 0 if no replica is
+// listed that tells its slots.
 func replicasFor(items, slots, zones int) int {
-	return int(math.Ceil(slotsPerItem * float64(items) / float64(max(slots, 1)*max(zones, 1))))
+	if slots <= 0 || zones <= 0 {
+		return 0
+	}
+	return int(math.Ceil(slotsPerItem * float64(items) / float64(slots*zones)))
 }
 
 // order sets a zone's number of replicas. The same number is ordered again only once replicas
--- a/internal/version/scaling/scaling_test.go
+++ b/internal/version/scaling/scaling_test.go
@@ -48,7 +48,7 @@
 	}
 	b.listedSince = b.now.Add(-time.Minute)
 	b.scaler = New(Options{
-		Self: "a", Queue: b.queue, Lease: b.lease, Services: func(time.Time) []Service { return []Service{b.service} },
+		Self: "a", Queue: b.queue, Lease: b.lease, Services: func() []Service { return []Service{b.service} },
 		ListedSince: func() time.Time { return b.listedSince },
 	})
 	return b
@@ -217,3 +217,23 @@
 		t.Errorf("%v replicas", b.replicas())
 	}
 }
+
+// TestNoReplicaTellsItsSlots: without one there is nothing to size an order by, so the least
+// number is ordered rather than the most.
+func TestNoReplicaTellsItsSlots(t *testing.T) {
+	b := newBench(0, 0)
+	b.service.Min = 2
+	b.service.Items = 300
+	for i := range b.service.Zones {
+		b.service.Zones[i].Slots = 0
+	}
+	b.run(3 * time.Second)
+	for _, order := range b.orders {
+		if order.Replicas != 2 {
+			t.Errorf("%+v for a service of unknown size", order)
+		}
+	}
+	if len(b.orders) != 2 {
+		t.Errorf("%d orders, should be one a zone", len(b.orders))
+	}
+}
