--- a/internal/version/batch/batch_test.go
+++ b/internal/version/batch/batch_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -11,174 +9,9 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
-	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/task"
-	"github.com/doorstep/doorstep/internal/standin/model"
 )
 
-// bench is one node's jobs over a store, with every call in the test's hands.
-type bench struct {
-	now   time.Time
-	store *model.Records
-	queue *task.Queue
-	jobs  *Jobs
-	one   *endpoint.Endpoint
-	route *port.Route
-	// scoringRoute is that of scoring calls, which go to scorer.
-	scoringRoute *port.Route
-	scorer       *endpoint.Endpoint
-	clock        bool
-	// mostEvents is the most that any text may have, 0 if that is not told.
-	mostEvents int
-	// unheard is for how long the watch has not heard.
-	unheard time.Duration
-	latency time.Duration
-	runs    []task.Run
-	calls   []task.ScoringCall
-	stopped map[uint64]bool
-	// answer decides over a commit's answer; nil lets all through.
-	answer func(commit task.Commit) (port.RecordResult, bool)
-	later  []task.Later
-}
-
-var epoch = time.Unix(1000, 0)
-
-func newBench(self string, store *model.Records) *bench {
-	b := &bench{now: epoch, store: store, queue: &task.Queue{}, clock: true, stopped: map[uint64]bool{}}
-	b.route = &port.Route{Name: "r", Kind: port.RouteBatch, MaxAttempts: 3, MaxQueue: 30 * time.Second, Backends: []port.Backend{{Service: "s", Weight: 1}}}
-	b.one = &endpoint.Endpoint{ReplicaRecord: port.ReplicaRecord{ID: "e", Service: "s", Slots: 100, Versions: map[string]int64{"m": 2}}}
-	b.scoringRoute = &port.Route{Name: "q", Kind: port.RouteIdempotent, MaxAttempts: 2, Timeout: 1500 * time.Millisecond, Backends: []port.Backend{{Service: "q", Weight: 1}}}
-	b.scorer = &endpoint.Endpoint{ReplicaRecord: port.ReplicaRecord{ID: "q", Service: "q", Slots: 6}}
-	b.jobs = New(Options{
-		Self: self, Incarnation: 1, Queue: b.queue, Random: rand.New(rand.NewPCG(1, 1)),
-		Place: func(time.Time, Placement) *endpoint.Endpoint { return b.one },
-		PlaceScoring: func(_ time.Time, _ *port.Route, exclude map[string]bool) *endpoint.Endpoint {
-			if b.scorer == nil || exclude[b.scorer.ID] {
-				return nil
-			}
-			return b.scorer
-		},
-		Find: func(string) *endpoint.Endpoint { return b.one },
-		Route: func(_, path string) *port.Route {
-			if path == scoringPath {
-				return b.scoringRoute
-			}
-			return b.route
-		},
-		Latency:        func() time.Duration { return b.latency },
-		Observed:       func(now time.Time) time.Time { return now.Add(-b.unheard) },
-		LengthHint:     func(http.Header) int { return 0 },
-		ExpectedTokens: func(*port.Route, http.Header, int) int { return 0 },
-		MostEvents:     func(*port.Route, http.Header) int { return b.mostEvents },
-		Clock: func(now time.Time) (time.Duration, time.Duration, bool) {
-			return now.Sub(epoch), now.Sub(epoch), b.clock
-		},
-	})
-	b.jobs.Observing(b.now, true)
-	return b
-}
-
-func newStore() *model.Records { return model.NewRecords(epoch, model.RecordsOptions{}) }
-
-// settle carries tasks out until none is left.
-func (b *bench) settle() {
-	for {
-		tasks := b.queue.Take()
-		if len(tasks) == 0 {
-			return
-		}
-		for _, one := range tasks {
-			switch t := one.(type) {
-			case task.Commit:
-				b.commit(t)
-			case task.Range:
-				t.Done(b.now, b.store.Range(b.now, t.Query))
-			case task.Run:
-				b.runs = append(b.runs, t)
-			case task.ScoringCall:
-				b.calls = append(b.calls, t)
-			case task.StopRun:
-				b.stopped[t.ID] = true
-			case task.Later:
-				b.later = append(b.later, t)
-			}
-		}
-	}
-}
-
-func (b *bench) commit(t task.Commit) {
-	if b.answer != nil {
-		if result, own := b.answer(t); own {
-			t.Done(b.now, result)
-			return
-		}
-	}
-	t.Done(b.now, b.store.Commit(b.now, t.Transaction))
-}
-
-// pass lets time pass.
-func (b *bench) pass(length time.Duration) {
-	for end := b.now.Add(length); b.now.Before(end); b.now = b.now.Add(25 * time.Millisecond) {
-		due := b.later
-		b.later = nil
-		for _, one := range due {
-			one.Do(b.now)
-		}
-		b.jobs.Tick(b.now)
-		b.settle()
-	}
-}
-
-func (b *bench) accept(job *doorstepv1.BatchJob) (outcome Outcome, answered bool) {
-	b.jobs.Accept(b.now, job, func(_ time.Time, got Outcome) { outcome, answered = got, true })
-	b.settle()
-	for range 200 {
-		if answered {
-			break
-		}
-		b.pass(25 * time.Millisecond)
-	}
-	return outcome, answered
-}
-
-// finish ends a run with events of a version.
-func (b *bench) finish(run task.Run, outcome task.RunOutcome, version int64, count int) {
-	result := task.RunResult{Outcome: outcome}
-	for i := range count {
-		id := run.After + int64(i) + 1
-		result.Events = append(result.Events, port.ReplicaEvent{ID: id, Data: fmt.Sprintf("%s#%d", run.Item, id), Version: version})
-	}
-	run.Done(b.now, result)
-	b.settle()
-}
-
-func (b *bench) takeRuns() []task.Run {
-	runs := b.runs
-	b.runs = nil
-	return runs
-}
-
-func (b *bench) results(t *testing.T, job string) []*doorstepv1.BatchResult {
-	t.Helper()
-	var got []*doorstepv1.BatchResult
-	b.jobs.ReadResults(job, 0, func(_ time.Time, results []*doorstepv1.BatchResult, ok bool) {
-		if !ok {
-			t.Fatal("not read")
-		}
-		got = results
-	})
-	b.settle()
-	return got
-}
-
-func newJob(id string, items int) *doorstepv1.BatchJob {
-	job := &doorstepv1.BatchJob{Id: id, Host: "h", Path: "/p/", Model: "m", MinVersion: 2}
-	for i := range items {
-		job.Items = append(job.Items, &doorstepv1.BatchItem{Id: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", Body: []byte("b")})
-	}
-	return job
-}
-
 func TestJobRunsToItsEnd(t *testing.T) {
 	b := newBench("a", newStore())
 	if outcome, _ := b.accept(newJob("j", 3)); outcome != Done {
@@ -292,29 +125,6 @@
 	}
 }
 
-// Seeds 236 and 249 of the cluster simulation: an item that always fails ran ten times.
-func TestFailuresOutliveTheirOwner(t *testing.T) {
-	store := newStore()
-	owner, other := newBench("a", store), newBench("b", store)
-	owner.accept(newJob("j", 1))
-	owner.pass(200 * time.Millisecond)
-	owner.finish(owner.takeRuns()[0], task.RunFailed, 0, 0)
-	other.now = owner.now
-	share(other)
-	other.pass(2 * time.Second)
-	runs := 1
-	for range 20 {
-		for _, run := range other.takeRuns() {
-			runs++
-			other.finish(run, task.RunFailed, 0, 0)
-		}
-		other.pass(200 * time.Millisecond)
-	}
-	if got := other.results(t, "j"); runs != 3 || len(got) != 1 || got[0].Completed {
-		t.Errorf("%d runs, results %v", runs, got)
-	}
-}
-
 func TestTexts(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -378,96 +188,6 @@
 	}
 }
 
-// share lets another node's machine see the heads of the store.
-func share(b *bench) {
-	for number := range Partitions {
-		for _, record := range b.store.Range(b.now, port.RecordRange{Table: port.SharedTable, Partition: PartitionName(number)}).Records {
-			b.jobs.OnHead(b.now, record)
-		}
-	}
-}
-
-func TestTakeover(t *testing.T) {
-	for _, c := range []struct {
-		name     string
-		prepare  func(owner, other *bench)
-		within   time.Duration
-		takes    bool
-		observes bool
-	}{
-		{"a silent owner", func(_, _ *bench) {}, takeoverAfter + 2*takeoverSpread, true, true},
-		{"a silent owner, too early", func(_, _ *bench) {}, takeoverAfter - 100*time.Millisecond, false, true},
-		{"a silent owner, but the store is slow", func(_, other *bench) { other.latency = time.Second }, takeoverAfter + 2*takeoverSpread, false, true},
-		{"a silent owner, but the watch has not heard of late", func(_, other *bench) { other.unheard = 10 * time.Second }, 10 * time.Second, false, true},
-		{"a silent owner, but the watch is broken", func(_, _ *bench) {}, 10 * time.Second, false, false},
-		{"handed over", func(owner, _ *bench) { owner.jobs.Stop(owner.now); owner.settle(); finishAll(owner) }, takeoverSpread, true, true},
-		{"ended", func(owner, _ *bench) {
-			owner.jobs.End(owner.now, "j", func(time.Time, Outcome) {})
-			owner.settle()
-		}, 10 * time.Second, false, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			store := newStore()
-			owner, other := newBench("a", store), newBench("b", store)
-			owner.accept(newJob("j", 2))
-			owner.pass(100 * time.Millisecond)
-			c.prepare(owner, other)
-			other.now = owner.now
-			share(other)
-			other.jobs.Observing(other.now, c.observes)
-			other.pass(c.within)
-			if got := other.jobs.Owned() == 1; got != c.takes {
-				t.Errorf("taken %t, should be %t", got, c.takes)
-			}
-		})
-	}
-}
-
-// finishAll ends all open runs as stopped.
-func finishAll(b *bench) {
-	for _, run := range b.takeRuns() {
-		b.finish(run, task.RunInterrupted, 2, 12)
-	}
-}
-
-func TestTextsAreHandedOver(t *testing.T) {
-	store := newStore()
-	owner, other := newBench("a", store), newBench("b", store)
-	owner.accept(newJob("j", 1))
-	owner.pass(200 * time.Millisecond)
-	owner.jobs.Stop(owner.now)
-	owner.settle()
-	finishAll(owner)
-	other.now = owner.now
-	share(other)
-	other.pass(time.Second)
-	if runs := other.takeRuns(); len(runs) != 1 || runs[0].After != 12 {
-		t.Errorf("%+v: the next owner goes on from the text", runs)
-	}
-}
-
-func TestTextsOutliveTheirOwner(t *testing.T) {
-	store := newStore()
-	owner, other := newBench("a", store), newBench("b", store)
-	owner.accept(newJob("j", 1))
-	owner.pass(200 * time.Millisecond)
-	run := owner.takeRuns()[0]
-	var events []port.ReplicaEvent
-	for id := int64(1); id <= 40; id++ {
-		events = append(events, port.ReplicaEvent{ID: id, Data: "x", Version: 2})
-		if id%8 == 0 {
-			run.Progress(owner.now, events, 40*time.Millisecond)
-			owner.pass(keepEvery)
-		}
-	}
-	other.now = owner.now
-	share(other)
-	other.pass(3 * time.Second)
-	if runs := other.takeRuns(); len(runs) != 1 || runs[0].After != 40 {
-		t.Errorf("%+v: the next owner goes on from what was kept", runs)
-	}
-}
-
 func TestTextsOfTwoBeginningsDoNotMix(t *testing.T) {
 	store := newStore()
 	owner, other := newBench("a", store), newBench("b", store)
@@ -500,26 +220,6 @@
 	}
 }
 
-func TestFormerOwnerIsRefused(t *testing.T) {
-	store := newStore()
-	owner, other := newBench("a", store), newBench("b", store)
-	owner.accept(newJob("j", 1))
-	owner.pass(200 * time.Millisecond)
-	other.now = owner.now
-	share(other)
-	other.pass(3 * time.Second)
-	runs := other.takeRuns()
-	other.finish(runs[0], task.RunCompleted, 2, 2)
-	other.pass(200 * time.Millisecond)
-	for _, run := range owner.takeRuns() {
-		owner.finish(run, task.RunCompleted, 2, 5)
-	}
-	owner.pass(200 * time.Millisecond)
-	if got := owner.results(t, "j"); len(got) != 1 || got[0].Message != "j-0#1\nj-0#2" || owner.jobs.Owned() != 0 {
-		t.Errorf("%v: the result that was listed stays", got)
-	}
-}
-
 func TestLargeJobsAndResults(t *testing.T) {
 	b := newBench("a", newStore())
 	job := newJob("j", 2)
--- /dev/null
+++ b/internal/version/batch/owner_test.go
@@ -0,0 +1,126 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// Seeds 236 and 249 of the cluster simulation: an item that always fails ran ten times.
+func TestFailuresOutliveTheirOwner(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	owner.pass(200 * time.Millisecond)
+	owner.finish(owner.takeRuns()[0], task.RunFailed, 0, 0)
+	other.now = owner.now
+	share(other)
+	other.pass(2 * time.Second)
+	runs := 1
+	for range 20 {
+		for _, run := range other.takeRuns() {
+			runs++
+			other.finish(run, task.RunFailed, 0, 0)
+		}
+		other.pass(200 * time.Millisecond)
+	}
+	if got := other.results(t, "j"); runs != 3 || len(got) != 1 || got[0].Completed {
+		t.Errorf("%d runs, results %v", runs, got)
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		prepare  func(owner, other *bench)
+		within   time.Duration
+		takes    bool
+		observes bool
+	}{
+		{"a silent owner", func(_, _ *bench) {}, takeoverAfter + 2*takeoverSpread, true, true},
+		{"a silent owner, too early", func(_, _ *bench) {}, takeoverAfter - 100*time.Millisecond, false, true},
+		{"a silent owner, but the store is slow", func(_, other *bench) { other.latency = time.Second }, takeoverAfter + 2*takeoverSpread, false, true},
+		{"a silent owner, but the watch has not heard of late", func(_, other *bench) { other.unheard = 10 * time.Second }, 10 * time.Second, false, true},
+		{"a silent owner, but the watch is broken", func(_, _ *bench) {}, 10 * time.Second, false, false},
+		{"handed over", func(owner, _ *bench) { owner.jobs.Stop(owner.now); owner.settle(); finishAll(owner) }, takeoverSpread, true, true},
+		{"ended", func(owner, _ *bench) {
+			owner.jobs.End(owner.now, "j", func(time.Time, Outcome) {})
+			owner.settle()
+		}, 10 * time.Second, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := newStore()
+			owner, other := newBench("a", store), newBench("b", store)
+			owner.accept(newJob("j", 2))
+			owner.pass(100 * time.Millisecond)
+			c.prepare(owner, other)
+			other.now = owner.now
+			share(other)
+			other.jobs.Observing(other.now, c.observes)
+			other.pass(c.within)
+			if got := other.jobs.Owned() == 1; got != c.takes {
+				t.Errorf("taken %t, should be %t", got, c.takes)
+			}
+		})
+	}
+}
+
+func TestTextsAreHandedOver(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	owner.pass(200 * time.Millisecond)
+	owner.jobs.Stop(owner.now)
+	owner.settle()
+	finishAll(owner)
+	other.now = owner.now
+	share(other)
+	other.pass(time.Second)
+	if runs := other.takeRuns(); len(runs) != 1 || runs[0].After != 12 {
+		t.Errorf("%+v: the next owner goes on from the text", runs)
+	}
+}
+
+func TestTextsOutliveTheirOwner(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	owner.pass(200 * time.Millisecond)
+	run := owner.takeRuns()[0]
+	var events []port.ReplicaEvent
+	for id := int64(1); id <= 40; id++ {
+		events = append(events, port.ReplicaEvent{ID: id, Data: "x", Version: 2})
+		if id%8 == 0 {
+			run.Progress(owner.now, events, 40*time.Millisecond)
+			owner.pass(keepEvery)
+		}
+	}
+	other.now = owner.now
+	share(other)
+	other.pass(3 * time.Second)
+	if runs := other.takeRuns(); len(runs) != 1 || runs[0].After != 40 {
+		t.Errorf("%+v: the next owner goes on from what was kept", runs)
+	}
+}
+
+func TestFormerOwnerIsRefused(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.accept(newJob("j", 1))
+	owner.pass(200 * time.Millisecond)
+	other.now = owner.now
+	share(other)
+	other.pass(3 * time.Second)
+	runs := other.takeRuns()
+	other.finish(runs[0], task.RunCompleted, 2, 2)
+	other.pass(200 * time.Millisecond)
+	for _, run := range owner.takeRuns() {
+		owner.finish(run, task.RunCompleted, 2, 5)
+	}
+	owner.pass(200 * time.Millisecond)
+	if got := owner.results(t, "j"); len(got) != 1 || got[0].Message != "j-0#1\nj-0#2" || owner.jobs.Owned() != 0 {
+		t.Errorf("%v: the result that was listed stays", got)
+	}
+}
