--- a/internal/version/usage/counter.go
+++ b/internal/version/usage/counter.go
@@ -48,8 +48,9 @@
 	// pending are requests that began while the clock was not known.
 	pending []begin
 	dropped int
-	// nextAt is when the node may write again.
-	nextAt time.Time
+	// nextAt is when the node may write again, retryAt when it may after a write that brought
+	// nothing.
+	nextAt, retryAt time.Time
 }
 
 // begin is a request that began to run.
@@ -128,7 +129,7 @@
 			continue
 		}
 		due := hurry || now.Sub(one.changedAt) >= writeBehind && !now.Before(c.nextAt)
-		if one.total > one.written && !one.writing && due {
+		if one.total > one.written && !one.writing && due && !now.Before(c.retryAt) {
 			c.nextAt = now.Add(writeEvery)
 			c.write(window, one)
 		}
@@ -180,7 +181,7 @@
 				// An earlier write of this node took effect, though its answer was lost.
 				one.revision = revisionOf(result, key)
 			default:
-				c.nextAt = now.Add(writeRetry)
+				c.retryAt = now.Add(writeRetry)
 			}
 		},
 	})
--- a/internal/version/usage/reporter.go
+++ b/internal/version/usage/reporter.go
@@ -162,16 +162,18 @@
 	if err != nil || window < r.next {
 		return
 	}
-	if held := decodeReport(record); held == nil || !held.Accepted {
+	r.next = window + 1
+	if held := r.decodeReport(record); held != nil && !held.Accepted {
 		r.next = window
-		return
 	}
-	r.next = window + 1
 }
 
-func decodeReport(record port.Record) *doorstepv1.UsageReport {
+// decodeReport returns a report that stands in the store, nil if it can't be read: what was sent
+// of it is not known then, so that its window is passed over.
+func (r *Reporter) decodeReport(record port.Record) *doorstepv1.UsageReport {
 	held := &doorstepv1.UsageReport{}
-	if proto.Unmarshal(record.Value, held) != nil {
+	if err := proto.Unmarshal(record.Value, held); err != nil {
+		r.options.Queue.Log(event.RecordUnreadable, "table", record.Table, "key", record.Key, "error", err.Error())
 		return nil
 	}
 	return held
@@ -220,8 +222,9 @@
 			one.revision = result.Revision
 			if result.Status == port.RecordConflict {
 				one.revision = revisionOf(result, key)
-				held := decodeReport(firstOf(result, key))
-				if held == nil || one.revision == 0 {
+				held := r.decodeReport(firstOf(result, key))
+				if held == nil {
+					r.report, r.next = nil, one.window+1
 					return
 				}
 				one.requests, one.accepted = held.Requests, held.Accepted
--- a/internal/version/usage/usage_test.go
+++ b/internal/version/usage/usage_test.go
@@ -394,3 +394,50 @@
 		t.Errorf("%d fences: a later acquisition brings a newer one", len(fences))
 	}
 }
+
+// TestStoppingNodesDoNotPressTheStore: all nodes may stop while the store refuses.
+func TestStoppingNodesDoNotPressTheStore(t *testing.T) {
+	b := newBench(1)
+	n := b.nodes[0]
+	b.run(11 * time.Second)
+	b.begin(n, "x", 1)
+	writes := 0
+	n.answer = func(one task.Commit) (port.RecordResult, bool) {
+		writes++
+		return port.RecordResult{Status: port.RecordRefused}, true
+	}
+	for end := b.now.Add(2 * time.Second); b.now.Before(end); b.now = b.now.Add(tickEvery) {
+		n.counter.Tick(b.now, true)
+		for _, one := range n.queue.Take() {
+			b.carryOut(n, one)
+		}
+	}
+	if writes < 2 || writes > 9 {
+		t.Errorf("%d writes in two seconds of refusals", writes)
+	}
+}
+
+// TestUnreadableReportsAreToldOf: the next holder can't know what was sent, so it sends nothing.
+func TestUnreadableReportsAreToldOf(t *testing.T) {
+	b := newBench(1)
+	b.run(7 * time.Second)
+	key := reportKey(begunAt.Unix()/5 + 1)
+	b.records.Commit(b.now, port.RecordTransaction{Puts: []port.Record{{RecordKey: key, Value: []byte("\xff\xff\xff")}}})
+	calls := 0
+	b.nodes[0].answer = func(one task.Commit) (port.RecordResult, bool) {
+		if one.Transaction.Puts != nil && one.Transaction.Puts[0].RecordKey == key {
+			calls++
+			if calls > 100 {
+				t.Fatal("the store is asked again and again")
+			}
+		}
+		return port.RecordResult{}, false
+	}
+	b.run(20 * time.Second)
+	if got := b.reportOf(t, 1); got != nil {
+		t.Errorf("%v was sent", got)
+	}
+	if got := b.reportOf(t, 2); got == nil {
+		t.Error("one unreadable report holds up all others")
+	}
+}
