What nothing orders yet is not in the contract of duties

The field for replicas that may be taken away, and the answer that none are to be had, were used by no decision.

--- a/internal/port/duty.go
+++ b/internal/port/duty.go
@@ -16,8 +16,6 @@
 type ReplicaOrder struct {
 	Service, Zone string
 	Replicas      int
-	// Spot orders replicas that may be taken away at short notice, which are counted apart.
-	Spot bool
 	// Holder and Fence are the lease's.
 	Holder string
 	Fence  int64
@@ -35,13 +33,11 @@
 	DutyFenced
 	// DutyRefused means that nothing was done, for load or an outage.
 	DutyRefused
-	// DutyUnavailable means that no such replicas are to be had at present.
-	DutyUnavailable
 )
 
 // String names the status as logs do.
 func (s DutyStatus) String() string {
-	return [...]string{"unknown", "done", "fenced", "refused", "unavailable"}[s]
+	return [...]string{"unknown", "done", "fenced", "refused"}[s]
 }
 
 // DutyService is the platform's interface for calls that one node at a time may make.
--- a/internal/version/scaling/scaling.go
+++ b/internal/version/scaling/scaling.go
@@ -205,7 +205,7 @@
 		}
 	case port.DutyFenced:
 		s.options.Lease.Fenced(s.options.Lease.Fence())
-	case port.DutyUnknown, port.DutyRefused, port.DutyUnavailable:
+	case port.DutyUnknown, port.DutyRefused:
 		last.notAt = now.Add(refusedPause)
 	}
 }
--- a/internal/version/usage/reporter.go
+++ b/internal/version/usage/reporter.go
@@ -288,7 +288,7 @@
 		r.Tick(now)
 	case port.DutyFenced:
 		r.options.Lease.Fenced(r.fence)
-	case port.DutyUnknown, port.DutyRefused, port.DutyUnavailable:
+	case port.DutyUnknown, port.DutyRefused:
 		r.back(now)
 	}
 }
