Sight: failed attempts tell what was asked for, and whether the replica is gone

They carry the request's fingerprint now (method, host, path, tenant, body) and whether the replica's address refuses connections right after the break. No decision goes by either yet. Cost: one connection to a replica, only after an answer that broke off by itself.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -22,6 +22,9 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 700 * time.Millisecond
+	// refusalWithin bounds the wait for a connection to be refused: a round trip, and as much
+	// again for a busy machine.
+	refusalWithin = 100 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged.
 	unackedTimeout = 2 * time.Second
 	// keepAliveIdle and keepAliveInterval find peers that fell silent.
@@ -219,6 +222,19 @@
 	_ = a.conn.Close()
 }
 
+// Refuses reports whether nothing listens at an address: the connection is refused. One that is
+// silent is not known to be gone.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalWithin)
+	defer cancel()
+	opened, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = opened.Close()
+	return false
+}
+
 func (c *Client) connect(ctx context.Context, address string) (*connection, error) {
 	for {
 		conn := c.take(address)
@@ -230,6 +246,14 @@
 		}
 		_ = conn.Close()
 	}
+	opened, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: opened, address: address, reader: bufio.NewReader(opened)}, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	c.mu.Lock()
 	c.opens++
 	c.mu.Unlock()
@@ -238,11 +262,7 @@
 		Control:         setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
-	opened, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: opened, address: address, reader: bufio.NewReader(opened)}, nil
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -14,6 +14,7 @@
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/request/access"
 	"github.com/doorstep/doorstep/internal/request/relay"
 )
@@ -35,6 +36,8 @@
 	header   http.Header
 	body     []byte
 	err      error
+	// crashed says that the replica was gone right after the attempt broke.
+	crashed bool
 }
 
 // exchange is one caller's request on its way.
@@ -45,8 +48,10 @@
 	caller  access.Caller
 	id      string
 	body    []byte
-	relay   *relay.Relay
-	exclude map[string]bool
+	// fingerprint is the same for each repeat of the request.
+	fingerprint quarantine.Fingerprint
+	relay       *relay.Relay
+	exclude     map[string]bool
 	// tried names the replicas with the load that was known of them.
 	tried    []string
 	attempts chan *attempt
@@ -57,8 +62,9 @@
 func (a *Agent) newExchange(r *http.Request, route *port.Route, who access.Caller, id string, body []byte) *exchange {
 	now := time.Now()
 	wait, _ := a.protocol.Deadline(r.Header)
+	call := quarantine.Call{Method: r.Method, Host: r.Host, Target: target(r), Tenant: who.Tenant, Body: body}
 	return &exchange{
-		agent: a, request: r, route: route, caller: who, id: id, body: body, relay: relay.New(now, route, wait),
+		agent: a, request: r, route: route, caller: who, id: id, body: body, fingerprint: call.Fingerprint(), relay: relay.New(now, route, wait),
 		exclude: map[string]bool{}, attempts: make(chan *attempt, max(route.MaxAttempts, 1)), started: now,
 	}
 }
@@ -131,7 +137,7 @@
 		x.relay.Ended(ended.outcome)
 		if ended.outcome == relay.Broken || ended.outcome == relay.NotRun {
 			x.agent.log.add(event.AttemptEnded, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status, "outcome", int(ended.outcome),
-				"error", errorText(ended.err))
+				"error", errorText(ended.err), "fingerprint", x.fingerprint.String(), "crashed", ended.crashed)
 		}
 		return ended
 	case <-timer.C:
@@ -151,6 +157,7 @@
 func (x *exchange) try(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
 	startedAt := time.Now()
 	ended := x.send(ctx, chosen, left)
+	ended.crashed = x.agent.crashed(ctx, ended.endpoint.Address, ended.outcome)
 	x.agent.metrics.attempt(ended.outcome)
 	x.agent.do(func(now time.Time) {
 		chosen.InFlight--
@@ -243,6 +250,12 @@
 	}
 }
 
+// crashed reports whether the replica at an address ended while it had a request: the answer broke
+// off, though nobody cancelled it, and nothing listens there any more.
+func (a *Agent) crashed(ctx context.Context, address string, outcome relay.Outcome) bool {
+	return outcome == relay.Broken && ctx.Err() == nil && a.upstream.Refuses(ctx, address)
+}
+
 func failedOutcome(err error) relay.Outcome {
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -75,6 +75,7 @@
 	s.relay.Launched(now)
 	s.launched++
 	outcome, err := s.pass(ctx, chosen)
+	crashed := s.agent.crashed(ctx, chosen.Address, outcome)
 	s.relay.Ended(outcome)
 	s.agent.metrics.attempt(outcome)
 	s.agent.do(func(now time.Time) {
@@ -83,7 +84,7 @@
 	})
 	if outcome != relay.Answered {
 		s.agent.log.add(event.AttemptEnded, "request", s.id, "replica", chosen.ID, "outcome", int(outcome), "error", errorText(err),
-			"last_event", s.last)
+			"last_event", s.last, "fingerprint", s.fingerprint.String(), "crashed", crashed)
 	}
 }
 
