Replicas that can't be reached cost a request no attempt

An attempt without a connection has an outcome of its own now (Unreached) and is not counted; each replica is still tried once. Ruled out: to eject at the first refused connection (each node would still refuse its first request).

Also: a trial of a quarantined request has one attempt by the relay's own bound.

--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -50,7 +50,7 @@
 	body    []byte
 	// asked is what the request asks for, the same for each repeat of it.
 	asked quarantine.Request
-	// onTrial says that the request may be sent to one replica only, though it crashed others.
+	// onTrial says that the request may be sent to one replica, though it crashed others.
 	onTrial bool
 	relay   *relay.Relay
 	exclude map[string]bool
@@ -144,7 +144,7 @@
 	select {
 	case ended := <-x.attempts:
 		x.relay.Ended(ended.outcome)
-		if ended.outcome == relay.Broken || ended.outcome == relay.NotRun {
+		if ended.outcome != relay.Answered && ended.outcome != relay.Errored {
 			x.agent.log.add(event.AttemptEnded, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status, "outcome", int(ended.outcome),
 				"error", errorText(ended.err), "fingerprint", x.asked.Fingerprint.String(), "crashed", ended.crashed)
 		}
@@ -184,7 +184,7 @@
 // this node can tell: one that was sent and not turned away did. On its way and in a replica's
 // queue it spends milliseconds.
 func (x *exchange) count(now, sentAt time.Time, outcome relay.Outcome) {
-	if outcome != relay.NotRun {
+	if outcome != relay.NotRun && outcome != relay.Unreached {
 		x.agent.node.CountRequest(now, sentAt, x.caller.Tenant)
 	}
 }
@@ -201,7 +201,7 @@
 	if cancelled && ended.outcome != relay.Answered {
 		return
 	}
-	if ended.endpoint.Attempted(now, ended.outcome, ended.err == nil, took) {
+	if ended.endpoint.Attempted(now, ended.outcome, took) {
 		x.agent.log.add(event.ReplicaEjected, "replica", ended.endpoint.ID, "after_ms", took.Milliseconds())
 	}
 }
@@ -263,7 +263,7 @@
 func failedOutcome(err error) relay.Outcome {
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
-		return relay.NotRun
+		return relay.Unreached
 	}
 	return relay.Broken
 }
--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -31,6 +31,7 @@
 			return false
 		}
 		x.onTrial = true
+		x.relay.LimitAttempts(1)
 	case quarantine.Clear:
 	}
 	return true
@@ -52,12 +53,9 @@
 }
 
 // quarantined reports whether the request may not be sent to another replica, as it has crashed
-// enough of them since it was let through. A trial has one attempt.
+// enough of them since it was let through.
 func (x *exchange) quarantined(now time.Time) bool {
-	if x.onTrial {
-		return x.launched > 0
-	}
-	return x.agent.node.Quarantine().Judge(now, x.asked.Fingerprint).State != quarantine.Clear
+	return !x.onTrial && x.agent.node.Quarantine().Judge(now, x.asked.Fingerprint).State != quarantine.Clear
 }
 
 // noteRun tells the quarantine how the request fared at a replica.
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -97,19 +97,15 @@
 	e.heardAt = now
 }
 
-// Attempted notes how an attempt of a request ended, and how long it took; reached says
-// that the endpoint answered. It reports whether the endpoint was ejected.
-func (e *Endpoint) Attempted(now time.Time, outcome relay.Outcome, reached bool, took time.Duration) (ejected bool) {
+// Attempted notes how an attempt of a request ended, and how long it took. It reports whether
+// the endpoint was ejected.
+func (e *Endpoint) Attempted(now time.Time, outcome relay.Outcome, took time.Duration) (ejected bool) {
 	switch outcome {
 	case relay.Answered:
 		e.Succeeded(took)
 	case relay.NotRun:
-		if reached {
-			e.Busy(now)
-			return false
-		}
-		return e.Failed(now)
-	case relay.Errored, relay.Broken:
+		e.Busy(now)
+	case relay.Errored, relay.Broken, relay.Unreached:
 		return e.Failed(now)
 	}
 	return false
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -35,10 +35,12 @@
 	Answered Outcome = iota
 	// Errored means that the replica answered whole, with a failure of its own.
 	Errored
-	// NotRun means that the replica said so, or that no byte reached it.
+	// NotRun means that the replica said so.
 	NotRun
 	// Broken means that the request may have run and its answer is lost.
 	Broken
+	// Unreached means that no byte was sent, as there was no connection.
+	Unreached
 )
 
 // Action is what is to be done next.
@@ -74,8 +76,9 @@
 	deadline    time.Time
 	hedgeAfter  time.Duration
 	launchedAt  time.Time
-	launched    int
-	open        int
+	// launched counts the attempts that were sent to a replica or may yet be, open those under way.
+	launched int
+	open     int
 	// mayHaveRun is set once an attempt was lost.
 	mayHaveRun bool
 	exhausted  bool
@@ -107,6 +110,9 @@
 // Left returns the time that may be granted to a replica.
 func (r *Relay) Left(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
+// LimitAttempts lowers the number of replicas that the request may be sent to.
+func (r *Relay) LimitAttempts(most int) { r.maxAttempts = min(r.maxAttempts, most) }
+
 // Launched notes that an attempt was sent.
 func (r *Relay) Launched(now time.Time) {
 	r.launched++
@@ -129,6 +135,11 @@
 		r.mayHaveRun = true
 	case Broken:
 		r.mayHaveRun = true
+	case Unreached:
+		// The route bounds the replicas that a request is sent to. While replicas of a service of
+		// three ended and came back, 17 of 89 refusals came after two refused connections though
+		// another replica served (logs of nine nodes, eleven seconds).
+		r.launched--
 	case NotRun:
 	}
 }
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -189,7 +189,7 @@
 	if result.Outcome == relay.Answered || result.Outcome == relay.Errored {
 		o.jobs.options.Quarantine.Answered(now, one.scoringRequest.Fingerprint)
 	}
-	if chosen.Attempted(now, result.Outcome, result.Err == nil, took) {
+	if chosen.Attempted(now, result.Outcome, took) {
 		o.jobs.options.Queue.Log(event.ReplicaEjected, "replica", chosen.ID, "after_ms", took.Milliseconds())
 	}
 	if result.Score != "" && result.Status < http.StatusMultipleChoices {
@@ -245,7 +245,7 @@
 		o.terminate(now, index, "the scoring call failed at every attempt")
 		return
 	}
-	if len(one.scoring.open) == 0 && result.Outcome != relay.NotRun && result.Outcome != relay.Broken {
+	if len(one.scoring.open) == 0 && (result.Outcome == relay.Answered || result.Outcome == relay.Errored) {
 		o.endScoringTry(one, now.Add(failPause))
 	}
 }
