Simulator: items that crash replicas; operators see the quarantine

The fault item-deadly gives each job an item that crashes the replicas that begin it, the same request each time; crashes-bounded counts the runs by nodes in touch later than three seconds after the third crash: three at the most.

'show quarantine' lists suspected and held requests with their crashes and trials. The quarantine's code stands in files of one job each.

--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -15,6 +15,8 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/quarantine"
+	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/version/batch"
 	"github.com/doorstep/doorstep/internal/version/configuration"
 	"github.com/doorstep/doorstep/internal/version/experiment"
@@ -59,6 +61,8 @@
 		return g.leases()
 	case "usage":
 		return g.usage()
+	case "quarantine":
+		return g.quarantine()
 	case "drains":
 		return g.drains()
 	case "routes":
@@ -319,6 +323,25 @@
 	return rows
 }
 
+// quarantineStates names the states of requests that crashed replicas.
+var quarantineStates = map[quarantine.State]string{quarantine.Clear: "suspected", quarantine.Held: "held", quarantine.OnTrial: "on trial"}
+
+func (g *gathering) quarantine() [][]string {
+	records := g.read(port.SharedTable, quarantine.Partition, "")
+	known := quarantine.New(quarantine.Options{Queue: &task.Queue{}, StoreClock: func(time.Time) time.Duration { return g.clock }})
+	for _, record := range records {
+		known.OnRecord(record)
+	}
+	var rows [][]string
+	for _, one := range known.Reports(time.Time{}) {
+		rows = append(rows, []string{
+			one.Request, one.Route, one.Tenant, number(one.Crashes), number(one.Trials), quarantineStates[one.Verdict.State],
+			number(int(one.Verdict.Left.Seconds())), number(int((g.clock - one.Last).Seconds())),
+		})
+	}
+	return rows
+}
+
 func (g *gathering) drains() [][]string {
 	var rows [][]string
 	for _, drain := range g.configuration().Drains {
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -6,9 +6,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
@@ -67,61 +64,6 @@
 	return &Quarantine{options: options, suspects: map[Fingerprint]*suspect{}, removals: map[port.RecordKey]bool{}}
 }
 
-// suspect is a request that was at replicas that ended.
-type suspect struct {
-	route, tenant string
-	// crashes holds the crashes by the replicas' IDs, trials the trials by their numbers.
-	crashes, trials map[string]*entry
-	// due says that the crashes are to be written.
-	due bool
-	// notedAt is when this node last noted a crash.
-	notedAt time.Time
-}
-
-// entry is a record, or one that is to be written.
-type entry struct {
-	at       time.Duration
-	recorded bool
-}
-
-// entries returns those of a kind.
-func (s *suspect) entries(kind entryKind) map[string]*entry {
-	if kind == trialEntry {
-		return s.trials
-	}
-	return s.crashes
-}
-
-// names returns the names of all entries, in their order.
-func (s *suspect) names(fingerprint Fingerprint) []entryName {
-	var names []entryName
-	for _, kind := range []entryKind{crashEntry, trialEntry} {
-		for _, which := range slices.Sorted(maps.Keys(s.entries(kind))) {
-			names = append(names, entryName{fingerprint, kind, which})
-		}
-	}
-	return names
-}
-
-// last returns when the last crash or trial was.
-func (s *suspect) last() time.Duration {
-	last := time.Duration(0)
-	for _, kind := range []entryKind{crashEntry, trialEntry} {
-		for _, one := range s.entries(kind) {
-			last = max(last, one.at)
-		}
-	}
-	return last
-}
-
-func (s *suspect) held() bool { return len(s.crashes) >= CrashLimit }
-
-// over reports whether a suspect's records are of no use any more.
-func (s *suspect) over(clock time.Duration) bool {
-	age := clock - s.last()
-	return age > keptFor || !s.held() && age > suspectedFor
-}
-
 // Request is a request on its way.
 type Request struct {
 	Fingerprint Fingerprint
@@ -172,12 +114,6 @@
 	q.write(now)
 }
 
-// remove has a record deleted.
-func (q *Quarantine) remove(name entryName) {
-	q.removals[name.key()] = true
-	q.unwritten = true
-}
-
 func (q *Quarantine) suspect(fingerprint Fingerprint) *suspect {
 	s := q.suspects[fingerprint]
 	if s == nil {
@@ -194,78 +130,6 @@
 	}
 }
 
-// State says whether a request may be sent to replicas.
-type State int
-
-const (
-	// Clear requests may be sent.
-	Clear State = iota
-	// Held ones may not.
-	Held
-	// OnTrial ones may be sent once, by the node that claims the trial.
-	OnTrial
-)
-
-// Verdict is what is to be done with a request.
-type Verdict struct {
-	State State
-	// Left is how long a held request goes on being held.
-	Left time.Duration
-}
-
-// Judge says whether a request may be sent to replicas.
-func (q *Quarantine) Judge(now time.Time, fingerprint Fingerprint) Verdict {
-	s := q.suspects[fingerprint]
-	if s == nil || !s.held() {
-		return Verdict{}
-	}
-	wait := keptFor
-	if len(s.trials) < len(trialAfter) {
-		wait = trialAfter[len(s.trials)]
-	}
-	left := s.last() + wait - q.options.StoreClock(now)
-	switch {
-	case left > 0:
-		return Verdict{State: Held, Left: left}
-	case len(s.trials) < len(trialAfter):
-		return Verdict{State: OnTrial}
-	}
-	return Verdict{}
-}
-
-// Claim claims the next trial of a request. One node gets each: the record must be absent. Where its
-// answer is lost, the trial is spent.
-func (q *Quarantine) Claim(now time.Time, fingerprint Fingerprint, done func(now time.Time, granted bool)) {
-	s := q.suspects[fingerprint]
-	if s == nil {
-		done(now, true)
-		return
-	}
-	name := trialName(fingerprint, len(s.trials))
-	at := q.options.StoreClock(now)
-	q.options.Queue.Add(task.Commit{
-		Transaction: port.RecordTransaction{
-			Preconditions: []port.Precondition{{RecordKey: name.key()}},
-			Puts:          []port.Record{q.record(name, s, at)},
-		},
-		Done: func(now time.Time, result port.RecordResult) {
-			if result.Status == port.RecordDone {
-				s.trials[name.which] = &entry{at: at, recorded: true}
-				q.options.Queue.Log(event.QuarantineTrial, "fingerprint", fingerprint.String(), "route", s.route, "trial", name.which)
-			}
-			done(now, result.Status == port.RecordDone)
-		},
-	})
-}
-
-func (q *Quarantine) record(name entryName, s *suspect, at time.Duration) port.Record {
-	value, err := proto.Marshal(&doorstepv1.QuarantineEntry{AtMs: at.Milliseconds(), Route: s.route, Tenant: s.tenant, Node: q.options.Self})
-	if err != nil {
-		panic("an entry must encode: " + err.Error())
-	}
-	return port.Record{RecordKey: name.key(), Value: value}
-}
-
 // Tick writes what is due, and forgets now and then crashes that were never written.
 func (q *Quarantine) Tick(now time.Time) {
 	q.write(now)
@@ -280,77 +144,6 @@
 	}
 }
 
-// recorded reports whether a record tells of the suspect.
-func (s *suspect) recorded() bool {
-	for _, kind := range []entryKind{crashEntry, trialEntry} {
-		for _, one := range s.entries(kind) {
-			if one.recorded {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// write writes the crashes that are due and deletes the records of requests that were answered.
-// Neither has a condition: a repeat, or one that takes effect late, changes nothing.
-func (q *Quarantine) write(now time.Time) {
-	if !q.unwritten || q.writing || now.Before(q.retryAt) {
-		return
-	}
-	puts, written := q.duePuts()
-	deletes := q.dueDeletes(entriesAtOnce - len(puts))
-	if len(puts)+len(deletes) == 0 {
-		q.unwritten = false
-		return
-	}
-	q.writing = true
-	q.options.Queue.Add(task.Commit{
-		Transaction: port.RecordTransaction{Puts: puts, Deletes: deletes},
-		Done: func(now time.Time, result port.RecordResult) {
-			q.writing = false
-			if result.Status != port.RecordDone {
-				q.retryAt = now.Add(writeRetry)
-				return
-			}
-			for _, one := range written {
-				one.recorded = true
-			}
-			for _, key := range deletes {
-				delete(q.removals, key)
-			}
-			q.write(now)
-		},
-	})
-}
-
-// duePuts returns the next records to be written, with their entries.
-func (q *Quarantine) duePuts() (puts []port.Record, written []*entry) {
-	for _, fingerprint := range q.sorted() {
-		s := q.suspects[fingerprint]
-		if !s.due {
-			continue
-		}
-		for _, name := range s.names(fingerprint) {
-			one := s.entries(name.kind)[name.which]
-			if len(puts) == entriesAtOnce {
-				return puts, written
-			}
-			if !one.recorded {
-				puts = append(puts, q.record(name, s, one.at))
-				written = append(written, one)
-			}
-		}
-	}
-	return puts, written
-}
-
-// dueDeletes returns the next records to be deleted, some at the most.
-func (q *Quarantine) dueDeletes(most int) []port.RecordKey {
-	keys := slices.SortedFunc(maps.Keys(q.removals), func(a, b port.RecordKey) int { return cmp.Compare(a.Key, b.Key) })
-	return keys[:min(len(keys), most)]
-}
-
 func (q *Quarantine) sorted() []Fingerprint {
 	return slices.SortedFunc(maps.Keys(q.suspects), func(a, b Fingerprint) int { return cmp.Compare(a.String(), b.String()) })
 }
@@ -432,21 +225,3 @@
 		}
 	}
 }
-
-// Figures tell what this node knows.
-type Figures struct {
-	// Crashes counts the replicas that ended while this node had a request there, once for each
-	// request; Suspects and Held are the requests that are suspected, and held, at present.
-	Crashes, Suspects, Held int
-}
-
-// Figures returns the node's figures.
-func (q *Quarantine) Figures() Figures {
-	figures := Figures{Crashes: q.crashes, Suspects: len(q.suspects)}
-	for _, s := range q.suspects {
-		if s.held() {
-			figures.Held++
-		}
-	}
-	return figures
-}
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -270,6 +270,22 @@
 	b.expect(t, "when one is gone that no watch told of", request, Clear)
 }
 
+func TestReports(t *testing.T) {
+	b := newBench(1)
+	b.crash(requestOf("deadly"), "r1", "r2", "r3")
+	b.now = b.now.Add(30 * time.Second)
+	reports := b.nodes[0].Reports(b.now)
+	want := Report{
+		Request: requestOf("deadly").Fingerprint.String(), Route: "r", Tenant: "t", Crashes: 3, Verdict: Verdict{State: Held, Left: trialAfter[0] - 30*time.Second},
+	}
+	if len(reports) != 1 || reports[0] != want {
+		t.Errorf("%+v, should be %+v", reports, want)
+	}
+	if figures := b.nodes[0].Figures(); figures != (Figures{Crashes: 3, Suspects: 1, Held: 1}) {
+		t.Errorf("%+v", figures)
+	}
+}
+
 func TestUnreadableRecordsArePassedOver(t *testing.T) {
 	b := newBench(1)
 	for _, key := range []string{"", "x", "zz/crash/r", "00/crash/r"} {
--- /dev/null
+++ b/internal/process/quarantine/write.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// remove has a record deleted.
+func (q *Quarantine) remove(name entryName) {
+	q.removals[name.key()] = true
+	q.unwritten = true
+}
+
+func (q *Quarantine) record(name entryName, s *suspect, at time.Duration) port.Record {
+	value, err := proto.Marshal(&doorstepv1.QuarantineEntry{AtMs: at.Milliseconds(), Route: s.route, Tenant: s.tenant, Node: q.options.Self})
+	if err != nil {
+		panic("an entry must encode: " + err.Error())
+	}
+	return port.Record{RecordKey: name.key(), Value: value}
+}
+
+// write writes the crashes that are due and deletes the records of requests that were answered.
+// Neither has a condition: a repeat, or one that takes effect late, changes nothing.
+func (q *Quarantine) write(now time.Time) {
+	if !q.unwritten || q.writing || now.Before(q.retryAt) {
+		return
+	}
+	puts, written := q.duePuts()
+	deletes := q.dueDeletes(entriesAtOnce - len(puts))
+	if len(puts)+len(deletes) == 0 {
+		q.unwritten = false
+		return
+	}
+	q.writing = true
+	q.options.Queue.Add(task.Commit{
+		Transaction: port.RecordTransaction{Puts: puts, Deletes: deletes},
+		Done: func(now time.Time, result port.RecordResult) {
+			q.writing = false
+			if result.Status != port.RecordDone {
+				q.retryAt = now.Add(writeRetry)
+				return
+			}
+			for _, one := range written {
+				one.recorded = true
+			}
+			for _, key := range deletes {
+				delete(q.removals, key)
+			}
+			q.write(now)
+		},
+	})
+}
+
+// duePuts returns the next records to be written, with their entries.
+func (q *Quarantine) duePuts() (puts []port.Record, written []*entry) {
+	for _, fingerprint := range q.sorted() {
+		s := q.suspects[fingerprint]
+		if !s.due {
+			continue
+		}
+		for _, name := range s.names(fingerprint) {
+			one := s.entries(name.kind)[name.which]
+			if len(puts) == entriesAtOnce {
+				return puts, written
+			}
+			if !one.recorded {
+				puts = append(puts, q.record(name, s, one.at))
+				written = append(written, one)
+			}
+		}
+	}
+	return puts, written
+}
+
+// dueDeletes returns the next records to be deleted, some at the most.
+func (q *Quarantine) dueDeletes(most int) []port.RecordKey {
+	keys := slices.SortedFunc(maps.Keys(q.removals), func(a, b port.RecordKey) int { return cmp.Compare(a.Key, b.Key) })
+	return keys[:min(len(keys), most)]
+}
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -80,6 +80,7 @@
 	jobs         map[string]*jobRecord
 	itemJobs     map[string]*jobRecord
 	orders       map[string]orderRecord
+	deadly       map[string]*deadlyRecord
 	incarnations int
 	resultCount  int
 	orderCount   int
@@ -88,7 +89,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}}
+	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, deadly: map[string]*deadlyRecord{}}
 }
 
 func (c *checker) violate(w *World, invariant, format string, values ...any) {
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -90,6 +90,7 @@
 	}
 	r.up = false
 	for _, one := range slices.Clone(r.runs) {
+		one.crashed = true
 		one.end(task.RunInterrupted)
 	}
 	w := r.world
@@ -129,6 +130,8 @@
 	events  []port.ReplicaEvent
 	ended   bool
 	told    int
+	// crashed says that the replica ended while it had the run.
+	crashed bool
 }
 
 func (w *World) startRun(n *node, life uint64, t task.Run) {
@@ -164,6 +167,11 @@
 		return
 	}
 	r.runs = append(r.runs, one)
+	if isDeadly(one.task.Item) {
+		w.check.deadlyBegan(w, one)
+		w.After(r.Pace, func() { r.crash(deadlyDown) })
+		return
+	}
 	if one.task.After >= model.ItemEvents(one.task.Item) {
 		// The run before broke off between its last event and its end.
 		one.end(task.RunCompleted)
@@ -238,7 +246,7 @@
 	n.world.After(callLatency, func() {
 		n.do(life, func(now time.Time) {
 			delete(n.runs, one.task.ID)
-			one.task.Done(now, task.RunResult{Outcome: outcome, Events: one.events})
+			one.task.Done(now, task.RunResult{Outcome: outcome, Events: one.events, Crashed: one.crashed})
 		})
 	})
 }
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -39,6 +39,8 @@
 	targets map[string]int64
 	// counts of the faults of orders that are on.
 	lateOrders, slowOrders int
+	// deadly is raised while each job has an item that crashes replicas.
+	deadly int
 	// changes are the acknowledged versions with their times.
 	changes []configurationChange
 }
@@ -128,9 +130,14 @@
 		case 2:
 			id = unscorableItem + id
 		}
+		body := []byte(id)
+		if i == 0 && w.operator.deadly > 0 {
+			id = deadlyItem + id
+			body = []byte(deadlyItem)
+		}
 		one := &doorstepv1.BatchItem{
 			Id: id, Path: "/" + t.model + "/y", Headers: []*doorstepv1.Header{{Name: "model", Value: t.model}},
-			Body: make([]byte, 100), Group: fmt.Sprintf("group-%d", i/itemsOfGroup),
+			Body: body, Group: fmt.Sprintf("group-%d", i/itemsOfGroup),
 		}
 		if scored {
 			one.Scoring = &doorstepv1.ScoringCall{Id: id + scoringSuffix, Host: host, Path: scoringPath}
