--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	go tool staticcheck ./...
 	go tool revive -config revive.toml -set_exit_status ./cmd/... ./internal/... ./platform/...
 	$(MAKE) test
+	$(MAKE) soak-short
 
 # generate needs protoc; its result is committed, so that no build needs it.
 generate:
@@ -48,6 +49,12 @@
 prove:
 	scripts/prove.sh
 
+# soak-short is the soak that CI runs: two schedules that are always the same, a minute or two in all.
+SOAK_SHORT_SEEDS := 4242 887712
+.PHONY: soak-short
+soak-short: build
+	@for seed in $(SOAK_SHORT_SEEDS); do $(BIN)/doorstep-standin soak --seed $$seed --for 15s || exit 1; done
+
 # soak runs the real programs under faults from outside with a fresh seed, after the seeds
 # that ever failed (docs/SOAK.md). SOAK_FOR is how long each runs.
 .PHONY: soak
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -25,6 +25,7 @@
 	jobs       map[string]*jobRecord
 	fences     map[int64]string
 	counts     map[string]int
+	crash      crashRecord
 	// whole holds the items whose last event was made, failed counts failures by request.
 	whole  map[string]bool
 	failed map[string]int
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -178,3 +178,25 @@
 		}
 	}
 }
+
+func TestCrashesAreBounded(t *testing.T) {
+	c := NewChecker()
+	now := time.Unix(1000, 0)
+	for range crashLimit {
+		c.Crashed(now, true)
+	}
+	now = now.Add(inTouch)
+	c.Crashed(now, true)
+	now = now.Add(time.Second)
+	c.Crashed(now, false)
+	for range lateRuns {
+		c.Crashed(now, true)
+	}
+	if violations := c.Violations(); len(violations) != 0 {
+		t.Errorf("%v: these are borne", violations)
+	}
+	c.Crashed(now, true)
+	if violations := c.Violations(); len(violations) != 1 {
+		t.Errorf("%v: one too many", violations)
+	}
+}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,6 +31,16 @@
 	NodeStop struct{}
 	// NodeReload tells a node that its settings changed.
 	NodeReload struct{}
+	// NodeSignals sends a node a series of signals that overlap: reloads, pauses, and stops in the
+	// planned way of a process that stops already.
+	NodeSignals struct{ Gaps []time.Duration }
+	// RollStop stops every node in the planned way, each before the one before has ended.
+	RollStop struct{ Gap time.Duration }
+	// ConfigSeries writes configurations in quick succession.
+	ConfigSeries struct {
+		Count int
+		Gap   time.Duration
+	}
 	// AllKill kills every node.
 	AllKill struct{ Down time.Duration }
 	// StoreLink harms a node's link to the store.
@@ -91,6 +102,9 @@
 func (NodeKill) isFault()     {}
 func (NodeStop) isFault()     {}
 func (NodeReload) isFault()   {}
+func (NodeSignals) isFault()  {}
+func (RollStop) isFault()     {}
+func (ConfigSeries) isFault() {}
 func (AllKill) isFault()      {}
 func (StoreLink) isFault()    {}
 func (ClientLink) isFault()   {}
@@ -119,7 +133,17 @@
 func Draw(random *rand.Rand) Fault {
 	stores := []StoreKind{StoreSilent, StoreRefusing, StoreLosing, StoreLate, StoreSlow, StoreForget, StoreHush}
 	replicas := []ReplicaKind{ReplicaBreaks, ReplicaFails, ReplicaFull, ReplicaDrains, ReplicaCrashes, ReplicaLoses, ReplicaDoubles, ReplicaSlow}
-	switch random.IntN(12) {
+	switch random.IntN(15) {
+	case 12:
+		signals := NodeSignals{}
+		for range 3 + random.IntN(4) {
+			signals.Gaps = append(signals.Gaps, upTo(random, 500*time.Millisecond))
+		}
+		return signals
+	case 13:
+		return RollStop{Gap: upTo(random, 1500*time.Millisecond)}
+	case 14:
+		return ConfigSeries{Count: 3 + random.IntN(8), Gap: upTo(random, 200*time.Millisecond)}
 	case 0:
 		return NodePause{For: upTo(random, 4*time.Second)}
 	case 1, 2:
@@ -182,6 +206,12 @@
 	case NodeReload:
 		n.process.Reload()
 		return
+	case RollStop:
+		s.rollStop(f)
+		return
+	case ConfigSeries:
+		s.configSeries(f)
+		return
 	case ReplicaLink:
 		if r := s.replicaAt(victim); r != nil {
 			harm(r.link, f.Link)
@@ -201,6 +231,8 @@
 		n.process.Pause()
 		time.Sleep(f.For)
 		n.process.Resume()
+	case NodeSignals:
+		s.signalNode(n, f)
 	case NodeKill:
 		n.process.Kill()
 		time.Sleep(f.Down)
@@ -243,6 +275,45 @@
 	s.touched()
 }
 
+// rollStop stops all nodes in the planned way, one shortly after the other.
+func (s *Soak) rollStop(f RollStop) {
+	var stops sync.WaitGroup
+	for _, one := range s.nodes {
+		stops.Go(func() { s.stopNode(one) })
+		time.Sleep(f.Gap)
+	}
+	stops.Wait()
+}
+
+// configSeries writes configurations in quick succession.
+func (s *Soak) configSeries(f ConfigSeries) {
+	for range f.Count {
+		s.configure()
+		s.configuredAt.Store(int64(time.Since(s.started)))
+		time.Sleep(f.Gap)
+	}
+}
+
+// signalNode sends a node reloads, pauses and a planned stop that overlap, and starts it again.
+func (s *Soak) signalNode(n *node, f NodeSignals) {
+	var stopping sync.WaitGroup
+	for i, gap := range f.Gaps {
+		switch i % 3 {
+		case 0:
+			n.process.Reload()
+		case 1:
+			n.process.Pause()
+			time.Sleep(gap)
+			n.process.Resume()
+		default:
+			stopping.Go(func() { _ = n.process.Stop(stopGrace) })
+		}
+		time.Sleep(gap)
+	}
+	stopping.Wait()
+	s.restart(n)
+}
+
 func harm(link *Proxy, fault LinkFault) {
 	if fault.Reset {
 		link.Reset()
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -16,9 +16,11 @@
 	requestPause = 60 * time.Millisecond
 	jobPause     = 1200 * time.Millisecond
 	callers      = 4
-	trainers     = 2
-	jobItems     = 24
-	groupItems   = 4
+	// keptCallers keep a connection to each node open until its process is gone.
+	keptCallers = 3
+	trainers    = 2
+	jobItems    = 24
+	groupItems  = 4
 	// callDeadline is what callers wait, jobFor how long a job is handed in for.
 	callDeadline = 2 * time.Second
 	jobFor       = 8 * time.Second
@@ -40,6 +42,10 @@
 	for i := range callers {
 		load.Go(func() { s.caller(ctx, i) })
 	}
+	for i := range keptCallers {
+		load.Go(func() { s.keptCaller(ctx, i) })
+	}
+	load.Go(func() { s.deadlyCaller(ctx) })
 	for i := range trainers {
 		load.Go(func() { s.trainer(ctx, i) })
 	}
@@ -81,15 +87,24 @@
 }
 
 func (s *Soak) send(ctx context.Context, n *node, method, path, id string, body []byte) platformtest.Answer {
-	return platformtest.Client{}.Send(ctx, platformtest.Call{Address: n.address, Method: method, Path: path, ID: id, Key: lastingKey, Body: body, Deadline: callDeadline})
+	return s.sendBy(ctx, platformtest.Client{}, n, method, path, id, body)
+}
+
+func (s *Soak) sendBy(ctx context.Context, client platformtest.Client, n *node, method, path, id string, body []byte) platformtest.Answer {
+	return client.Send(ctx, platformtest.Call{Address: n.address, Method: method, Path: path, ID: id, Key: lastingKey, Body: body, Deadline: callDeadline})
 }
 
 // plain sends a request whose answer follows from it. Around a planned stop, an answer
 // that breaks off is a promise broken, unless something else disturbed the node.
 func (s *Soak) plain(ctx context.Context, n *node, path, id string) {
+	s.plainBy(ctx, platformtest.Client{}, n, path, id)
+}
+
+// plainBy is plain by a client.
+func (s *Soak) plainBy(ctx context.Context, client platformtest.Client, n *node, path, id string) {
 	calm := s.calmFor() > inTouch
 	body := "body of " + id
-	answer := s.send(ctx, n, http.MethodPost, path, id, []byte(body))
+	answer := s.sendBy(ctx, client, n, http.MethodPost, path, id, []byte(body))
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"os/exec"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,10 +20,25 @@
 	Args []string
 	Log  *os.File
 
+	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
 
+// current returns the present life's process and what is closed at its end; nil before the first.
+func (p *Process) current() (*exec.Cmd, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.ended
+}
+
+// signal sends a signal to the present life.
+func (p *Process) signal(number os.Signal) {
+	if cmd, _ := p.current(); cmd != nil {
+		_ = cmd.Process.Signal(number)
+	}
+}
+
 // Start starts the program.
 func (p *Process) Start() error {
 	cmd := exec.Command(p.Path, p.Args...)
@@ -31,7 +47,9 @@
 		return err
 	}
 	ended := make(chan struct{})
+	p.mu.Lock()
 	p.cmd, p.ended = cmd, ended
+	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		close(ended)
@@ -41,8 +59,12 @@
 
 // Running reports whether the program runs.
 func (p *Process) Running() bool {
+	_, ended := p.current()
+	if ended == nil {
+		return false
+	}
 	select {
-	case <-p.ended:
+	case <-ended:
 		return false
 	default:
 		return true
@@ -50,28 +72,31 @@
 }
 
 // Pause and Resume stop and continue the program.
-func (p *Process) Pause() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
 // Resume continues a paused program.
-func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
 // Reload tells the program that its settings changed.
-func (p *Process) Reload() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
 
 // Kill ends the program at once.
 func (p *Process) Kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.ended
+	cmd, ended := p.current()
+	_ = cmd.Process.Kill()
+	<-ended
 }
 
 // Stop asks the program to end, and kills it when it has not within the grace.
 func (p *Process) Stop(grace time.Duration) error {
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	cmd, ended := p.current()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
 	select {
-	case <-p.ended:
+	case <-ended:
 		return nil
 	case <-time.After(grace):
-		p.Kill()
+		_ = cmd.Process.Kill()
+		<-ended
 		return ErrNotStopped
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -210,6 +210,7 @@
 			}
 			return listed
 		},
+		CrashOn: deadlyBody(service), OnCrash: func(string) { s.crashed(id) },
 		OnRun:    func(request string) { s.check.Ran(id, request) },
 		OnWhole:  s.check.MadeWhole,
 		OnFailed: s.check.Failed,
@@ -277,7 +278,7 @@
 func (n *node) start() error {
 	n.starting.Lock()
 	defer n.starting.Unlock()
-	if n.process.ended != nil && n.process.Running() {
+	if n.process.Running() {
 		return nil
 	}
 	n.lives.Add(1)
@@ -363,7 +364,7 @@
 // end frees what the run holds, whatever became of it.
 func (s *Soak) end() {
 	for _, n := range s.nodes {
-		if n.process.ended != nil && n.process.Running() {
+		if n.process.Running() {
 			n.process.Resume()
 			n.process.Kill()
 		}
