Only a success clears a request that was at replicas that ended

Cause, found by reading the change: any whole answer cleared a suspect and kept it from being suspected for a minute. A replica that fails what it is sent before it runs (500) so hid a request that crashes all others: its node did not count the crashes of the next minute. TestFailuresDoNotClearARequest fails with failures taken for answers.

--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -63,11 +63,17 @@
 	switch {
 	case ended.crashed:
 		x.agent.node.Quarantine().Crashed(now, x.asked, ended.endpoint.ID)
-	case ended.outcome == relay.Answered || ended.outcome == relay.Errored:
+	case ended.succeeded():
 		x.agent.node.Quarantine().Answered(now, x.asked.Fingerprint)
 	}
 }
 
+// succeeded reports whether a replica ran the request to a good end. A failure proves nothing: it may
+// have come before the request began to run.
+func (e *attempt) succeeded() bool {
+	return e.outcome == relay.Answered && e.status < http.StatusMultipleChoices
+}
+
 // crashed reports whether the replica at an address ended while it had a request: the answer broke
 // off, though nobody cancelled it, and nothing listens there any more. An answer that merely breaks
 // off, as over a bad link or from a replica that garbles some, is not the request's fault.
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -24,7 +24,9 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	begun   bool
-	last    int64
+	// status is that of the last replica's answer.
+	status int
+	last   int64
 	// gone is set once the caller can't be written to.
 	gone bool
 }
@@ -78,7 +80,7 @@
 	s.relay.Launched(now)
 	s.launched++
 	outcome, err := s.pass(ctx, chosen)
-	ended := &attempt{endpoint: chosen, outcome: outcome, err: err, crashed: s.agent.crashed(ctx, chosen.Address, outcome)}
+	ended := &attempt{endpoint: chosen, outcome: outcome, status: s.status, err: err, crashed: s.agent.crashed(ctx, chosen.Address, outcome)}
 	s.relay.Ended(outcome)
 	s.agent.metrics.attempt(outcome)
 	s.agent.do(func(now time.Time) {
@@ -105,6 +107,7 @@
 		return failedOutcome(err), err
 	}
 	defer answer.Close()
+	s.status = answer.Status
 	if !s.agent.protocol.NotExecuted(answer.Status, answer.Header) {
 		s.countBegun(sentAt, relay.Answered)
 	}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -95,7 +95,7 @@
 	q.write(now)
 }
 
-// Answered notes that a replica answered a request: it does not crash those that run it.
+// Answered notes that a replica ran a request to a good end: it does not crash those that run it.
 func (q *Quarantine) Answered(now time.Time, fingerprint Fingerprint) {
 	q.answered.add(now, fingerprint)
 	s := q.suspects[fingerprint]
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -226,7 +226,6 @@
 func (o *ownedJob) failed(now time.Time, index int) {
 	one := &o.items[index]
 	o.failures[int32(index)]++
-	o.jobs.options.Quarantine.Answered(now, one.request.Fingerprint)
 	// It runs again once its failure is on record: a count that dies with its owner
 	// would let the next one begin anew.
 	one.unsaved = true
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -186,9 +186,6 @@
 	delete(try.open, id)
 	try.relay.Ended(result.Outcome)
 	o.noteCrash(now, one.scoringRequest, chosen.ID, result.Crashed)
-	if result.Outcome == relay.Answered || result.Outcome == relay.Errored {
-		o.jobs.options.Quarantine.Answered(now, one.scoringRequest.Fingerprint)
-	}
 	if chosen.Attempted(now, result.Outcome, took) {
 		o.jobs.options.Queue.Log(event.ReplicaEjected, "replica", chosen.ID, "after_ms", took.Milliseconds())
 	}
@@ -203,6 +200,7 @@
 func (o *ownedJob) scored(now time.Time, index int, chosen *endpoint.Endpoint, score string) {
 	one := &o.items[index]
 	o.stopScoring(one)
+	o.jobs.options.Quarantine.Answered(now, one.scoringRequest.Fingerprint)
 	o.jobs.options.Queue.Log(event.ItemScored, "job", o.id, "item", o.job.Items[index].Id, "call", o.job.Items[index].Scoring.Id,
 		"replica", chosen.ID, "attempts", one.scoringTries, "since_whole_ms", now.Sub(one.wholeAt).Milliseconds())
 	o.finish(now, index, score)
