A silent replica costs a request an attempt, one that refuses connections does not

A node that can't reach replicas in time (cut, lossy, dark) now went through all of them until the caller's deadline, where it used to send the caller on to another node: only a refused connection is free of an attempt now. The new row of TestRelay ('two replicas are silent') failed first.

--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/connection/upstream"
@@ -184,7 +185,8 @@
 // this node can tell: one that was sent and not turned away did. On its way and in a replica's
 // queue it spends milliseconds.
 func (x *exchange) count(now, sentAt time.Time, outcome relay.Outcome) {
-	if outcome != relay.NotRun && outcome != relay.Unreached {
+	switch outcome {
+	case relay.Answered, relay.Errored, relay.Broken:
 		x.agent.node.CountRequest(now, sentAt, x.caller.Tenant)
 	}
 }
@@ -262,10 +264,13 @@
 
 func failedOutcome(err error) relay.Outcome {
 	var failed *upstream.Error
-	if errors.As(err, &failed) && !failed.Sent {
-		return relay.Unreached
+	switch {
+	case !errors.As(err, &failed) || failed.Sent:
+		return relay.Broken
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return relay.Refused
 	}
-	return relay.Broken
+	return relay.Unreached
 }
 
 // outcome judges an answer. A success that no replica signed is none.
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -145,7 +145,7 @@
 	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, relay.ReasonDeadline, relay.ReasonNoAttempt,
 }
 
-var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached"}
+var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached", relay.Refused: "refused"}
 
 func (m *metrics) attempt(outcome relay.Outcome) {
 	m.attempts.WithLabelValues(attemptOutcomes[outcome]).Inc()
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -105,7 +105,7 @@
 		e.Succeeded(took)
 	case relay.NotRun:
 		e.Busy(now)
-	case relay.Errored, relay.Broken, relay.Unreached:
+	case relay.Errored, relay.Broken, relay.Unreached, relay.Refused:
 		return e.Failed(now)
 	}
 	return false
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -39,8 +39,10 @@
 	NotRun
 	// Broken means that the request may have run and its answer is lost.
 	Broken
-	// Unreached means that no byte was sent, as there was no connection.
+	// Unreached means that no byte was sent, as no connection came up in time.
 	Unreached
+	// Refused means that no byte was sent, as nothing listens at the replica's address.
+	Refused
 )
 
 // Action is what is to be done next.
@@ -135,12 +137,14 @@
 		r.mayHaveRun = true
 	case Broken:
 		r.mayHaveRun = true
-	case Unreached:
+	case Refused:
 		// The route bounds the replicas that a request is sent to. While replicas of a service of
 		// three ended and came back, 17 of 89 refusals came after two refused connections though
 		// another replica served (logs of nine nodes, eleven seconds).
 		r.launched--
-	case NotRun:
+	case NotRun, Unreached:
+		// A caller does better to come back at another node than to wait for one silent replica
+		// after the other here.
 	}
 }
 
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -48,15 +48,19 @@
 			{launch: true, want: Wait}, {ended: outcome(NotRun), want: Fail, status: http.StatusServiceUnavailable, comeBack: true},
 		}},
 		{"two replicas are gone: they were sent nothing, so no attempt is spent on them", idempotent, []happening{
-			{launch: true, want: Wait}, {at: ms(1), ended: outcome(Unreached), want: Launch},
-			{at: ms(1), launch: true, want: Wait}, {at: ms(2), ended: outcome(Unreached), want: Launch},
+			{launch: true, want: Wait}, {at: ms(1), ended: outcome(Refused), want: Launch},
+			{at: ms(1), launch: true, want: Wait}, {at: ms(2), ended: outcome(Refused), want: Launch},
 			{at: ms(2), launch: true, want: Wait}, {at: ms(9), ended: outcome(Broken), want: Launch},
 			{at: ms(9), launch: true, want: Wait}, {at: ms(12), ended: outcome(Answered), want: Deliver},
 		}},
 		{"all replicas are gone", once, []happening{
-			{launch: true, want: Wait}, {at: ms(1), ended: outcome(Unreached), want: Launch},
+			{launch: true, want: Wait}, {at: ms(1), ended: outcome(Refused), want: Launch},
 			{at: ms(1), nobody: true, want: Fail, status: http.StatusServiceUnavailable, comeBack: true},
 		}},
+		{"two replicas are silent: the caller is told", idempotent, []happening{
+			{launch: true, want: Wait}, {at: ms(1), ended: outcome(Unreached), want: Launch},
+			{at: ms(1), launch: true, want: Wait}, {at: ms(2), ended: outcome(Unreached), want: Fail, status: http.StatusServiceUnavailable, comeBack: true},
+		}},
 		{"lost and not repeatable", once, []happening{
 			{launch: true, want: Wait}, {at: ms(5), ended: outcome(Broken), want: Fail, status: http.StatusBadGateway},
 		}},
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -119,7 +119,7 @@
 		switch {
 		case one.ended:
 		case s == nil:
-			one.end(task.ScoringResult{Outcome: relay.Unreached, Err: errNoAnswer})
+			one.end(task.ScoringResult{Outcome: relay.Refused, Err: errNoAnswer})
 		case s.dark > 0:
 		case s.id != t.Replica:
 			one.end(task.ScoringResult{Outcome: relay.NotRun, Status: http.StatusMisdirectedRequest})
