--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -247,16 +247,6 @@
 	}
 }
 
-// resume notes that the machine was suspended, for so long in all. Orders and calls of duties that
-// are under way end: another node may have acted since they were decided on, and their time-outs
-// stood still.
-func (a *Agent) resume(suspended time.Duration) {
-	a.log.add(event.MachineResumed, "suspended_ms", (suspended - a.suspended).Milliseconds())
-	a.suspended = suspended
-	a.endActs()
-	a.acts, a.endActs = context.WithCancel(a.base)
-}
-
 // start starts one task; its outcome comes back through do.
 func (a *Agent) start(one task.Task) {
 	switch t := one.(type) {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,16 +30,6 @@
 	NodeStop struct{}
 	// NodeReload tells a node that its settings changed.
 	NodeReload struct{}
-	// NodeSignals sends a node a series of signals that overlap: reloads, pauses, and stops in the
-	// planned way of a process that stops already.
-	NodeSignals struct{ Gaps []time.Duration }
-	// RollStop stops every node in the planned way, each before the one before has ended.
-	RollStop struct{ Gap time.Duration }
-	// ConfigSeries writes configurations in quick succession.
-	ConfigSeries struct {
-		Count int
-		Gap   time.Duration
-	}
 	// AllKill kills every node.
 	AllKill struct{ Down time.Duration }
 	// StoreLink harms a node's link to the store.
@@ -102,9 +91,6 @@
 func (NodeKill) isFault()     {}
 func (NodeStop) isFault()     {}
 func (NodeReload) isFault()   {}
-func (NodeSignals) isFault()  {}
-func (RollStop) isFault()     {}
-func (ConfigSeries) isFault() {}
 func (AllKill) isFault()      {}
 func (StoreLink) isFault()    {}
 func (ClientLink) isFault()   {}
@@ -275,45 +261,6 @@
 	s.touched()
 }
 
-// rollStop stops all nodes in the planned way, one shortly after the other.
-func (s *Soak) rollStop(f RollStop) {
-	var stops sync.WaitGroup
-	for _, one := range s.nodes {
-		stops.Go(func() { s.stopNode(one) })
-		time.Sleep(f.Gap)
-	}
-	stops.Wait()
-}
-
-// configSeries writes configurations in quick succession.
-func (s *Soak) configSeries(f ConfigSeries) {
-	for range f.Count {
-		s.configure()
-		s.configuredAt.Store(int64(time.Since(s.started)))
-		time.Sleep(f.Gap)
-	}
-}
-
-// signalNode sends a node reloads, pauses and a planned stop that overlap, and starts it again.
-func (s *Soak) signalNode(n *node, f NodeSignals) {
-	var stopping sync.WaitGroup
-	for i, gap := range f.Gaps {
-		switch i % 3 {
-		case 0:
-			n.process.Reload()
-		case 1:
-			n.process.Pause()
-			time.Sleep(gap)
-			n.process.Resume()
-		default:
-			stopping.Go(func() { _ = n.process.Stop(stopGrace) })
-		}
-		time.Sleep(gap)
-	}
-	stopping.Wait()
-	s.restart(n)
-}
-
 func harm(link *Proxy, fault LinkFault) {
 	if fault.Reset {
 		link.Reset()
