Soak and tests: ports for programs lie below those of outgoing connections

The soak asked the system for a free port, gave it back and told it to the node; another program's outgoing connection took it meanwhile. A fault of the soak, not of the product.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -227,20 +227,11 @@
 	return nil
 }
 
-func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 func (s *Soak) addNode(name string) error {
 	n := &node{name: name, toStore: &Proxy{Target: s.storeAddr}, settings: filepath.Join(s.Dir, name+".yaml")}
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freePort()
+		address, err := platformtest.FreeAddress()
 		if err != nil {
 			return err
 		}
