--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -119,7 +119,7 @@
 
 func TestCrashesOfAllNodesCount(t *testing.T) {
 	b := newBench(3)
-	request := requestOf("deadly")
+	request := requestOf("poison")
 	b.crash(request, "r1", "r2")
 	b.expect(t, "after two crashes", request, Clear)
 	b.crash(request, "r1")
@@ -157,7 +157,7 @@
 
 func TestOneNodeTriesAHeldRequest(t *testing.T) {
 	b := newBench(3)
-	request := requestOf("deadly")
+	request := requestOf("poison")
 	b.crash(request, "r1", "r2", "r3")
 	for number, after := range trialAfter {
 		b.now = b.now.Add(after - time.Second)
@@ -201,7 +201,7 @@
 
 func TestCrashesAreWrittenOnceTheStoreAnswers(t *testing.T) {
 	b := newBench(2)
-	request := requestOf("deadly")
+	request := requestOf("poison")
 	b.status = port.RecordRefused
 	for range 40 {
 		b.crash(request, "r1", "r2", "r3")
@@ -232,7 +232,7 @@
 
 func TestOldSuspectsAreCollected(t *testing.T) {
 	b := newBench(2)
-	suspected, held := requestOf("bystander"), requestOf("deadly")
+	suspected, held := requestOf("bystander"), requestOf("poison")
 	b.crash(suspected, "r1")
 	b.crash(held, "r1", "r2", "r3")
 	collect := func() {
@@ -261,7 +261,7 @@
 
 func TestAWholeReadForgetsWhatIsGone(t *testing.T) {
 	b := newBench(1)
-	request := requestOf("deadly")
+	request := requestOf("poison")
 	b.crash(request, "r1", "r2", "r3")
 	whole := b.records.Range(b.now, port.RecordRange{Table: port.SharedTable, Partition: Partition}).Records
 	b.nodes[0].OnList(whole)
@@ -272,11 +272,11 @@
 
 func TestReports(t *testing.T) {
 	b := newBench(1)
-	b.crash(requestOf("deadly"), "r1", "r2", "r3")
+	b.crash(requestOf("poison"), "r1", "r2", "r3")
 	b.now = b.now.Add(30 * time.Second)
 	reports := b.nodes[0].Reports(b.now)
 	want := Report{
-		Request: requestOf("deadly").Fingerprint.String(), Route: "r", Tenant: "t", Crashes: 3, Verdict: Verdict{State: Held, Left: trialAfter[0] - 30*time.Second},
+		Request: requestOf("poison").Fingerprint.String(), Route: "r", Tenant: "t", Crashes: 3, Verdict: Verdict{State: Held, Left: trialAfter[0] - 30*time.Second},
 	}
 	if len(reports) != 1 || reports[0] != want {
 		t.Errorf("%+v, should be %+v", reports, want)
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -80,7 +80,7 @@
 	jobs         map[string]*jobRecord
 	itemJobs     map[string]*jobRecord
 	orders       map[string]orderRecord
-	deadly       map[string]*deadlyRecord
+	poison       map[string]*poisonRecord
 	incarnations int
 	resultCount  int
 	orderCount   int
@@ -89,7 +89,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, deadly: map[string]*deadlyRecord{}}
+	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}}
 }
 
 func (c *checker) violate(w *World, invariant, format string, values ...any) {
--- a/internal/simulation/clustersim/check_deadly.go
+++ b/internal/simulation/clustersim/check_poison.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// deadlyItem begins the ids of items that crash the replicas that begin them, and is their body.
-	deadlyItem = "deadly"
-	// deadlyDown is how long a replica is gone that such an item crashed.
-	deadlyDown = 1500 * time.Millisecond
+	// poisonItem begins the ids of items that crash the replicas that begin them, and is their body.
+	poisonItem = "poison"
+	// poisonDown is how long a replica is gone that such an item crashed.
+	poisonDown = 1500 * time.Millisecond
 	// crashesAtFirst is how many replicas such an item may crash before all nodes must know of it,
 	// which takes knownWithin; lateRuns bounds its runs after that.
 	crashesAtFirst = 3
@@ -17,22 +17,22 @@
 	lateRuns       = 3
 )
 
-func isDeadly(item string) bool { return strings.HasPrefix(item, deadlyItem) }
+func isPoison(item string) bool { return strings.HasPrefix(item, poisonItem) }
 
-// deadlyRecord is what was seen of the items of one path that crash replicas: they ask for the same.
-type deadlyRecord struct {
+// poisonRecord is what was seen of the items of one path that crash replicas: they ask for the same.
+type poisonRecord struct {
 	crashes int
 	// limitAt is when the last crash was that nodes need not have stopped.
 	limitAt time.Time
 	late    int
 }
 
-// deadlyBegan checks a run that crashes its replica.
-func (c *checker) deadlyBegan(w *World, one *run) {
-	known := c.deadly[one.task.Target]
+// poisonBegan checks a run that crashes its replica.
+func (c *checker) poisonBegan(w *World, one *run) {
+	known := c.poison[one.task.Target]
 	if known == nil {
-		known = &deadlyRecord{}
-		c.deadly[one.task.Target] = known
+		known = &poisonRecord{}
+		c.poison[one.task.Target] = known
 	}
 	known.crashes++
 	if known.crashes == crashesAtFirst {
--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// TestBystandersOfDeadlyItems: one request crashes replicas, and nothing else is amiss. Other items run
+// TestBystandersOfPoisonItems: one request crashes replicas, and nothing else is amiss. Other items run
 // beside it at five replicas, at two owners that do not know of one another's runs: 33 of them were
 // held in the twelve seeds while they did not run apart after a second crash, 3 are now.
-func TestBystandersOfDeadlyItems(t *testing.T) {
-	faults, err := FindFaults("item-deadly")
+func TestBystandersOfPoisonItems(t *testing.T) {
+	faults, err := FindFaults("item-poison")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -30,7 +30,7 @@
 	{"holder-freeze", "the holder of the order lease stands still", 12 * time.Second, 6 * time.Second, freezeHolder},
 	{"planned-stop", "a node is stopped in the planned way", 8 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyNode().stop() }},
 	{"replica-crash", "a replica dies and another takes its address", 8 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.anyReplica().crash(lasts) }},
-	{"item-deadly", "each job of one model has an item that crashes the replicas that begin it, the same each time", 12 * time.Second, 10 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.deadly) }},
+	{"item-poison", "each job of one model has an item that crashes the replicas that begin it, the same each time", 12 * time.Second, 10 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.poison) }},
 	{"replica-dark", "a replica answers nothing for a while", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().dark) }},
 	{"replica-slow", "a replica takes two to four times as long", 10 * time.Second, 6 * time.Second, slowReplica},
 	{"replica-breaks", "a replica breaks off its streams", 10 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().breaking) }},
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -167,9 +167,9 @@
 		return
 	}
 	r.runs = append(r.runs, one)
-	if isDeadly(one.task.Item) {
-		w.check.deadlyBegan(w, one)
-		w.After(r.Pace, func() { r.crash(deadlyDown) })
+	if isPoison(one.task.Item) {
+		w.check.poisonBegan(w, one)
+		w.After(r.Pace, func() { r.crash(poisonDown) })
 		return
 	}
 	if one.task.After >= model.ItemEvents(one.task.Item) {
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -39,8 +39,8 @@
 	targets map[string]int64
 	// counts of the faults of orders that are on.
 	lateOrders, slowOrders int
-	// deadly is raised while each job has an item that crashes replicas.
-	deadly int
+	// poison is raised while each job has an item that crashes replicas.
+	poison int
 	// changes are the acknowledged versions with their times.
 	changes []configurationChange
 }
@@ -131,9 +131,9 @@
 			id = unscorableItem + id
 		}
 		body := []byte(id)
-		if i == 0 && w.operator.deadly > 0 && t.model == models[0] {
-			id = deadlyItem + id
-			body = []byte(deadlyItem)
+		if i == 0 && w.operator.poison > 0 && t.model == models[0] {
+			id = poisonItem + id
+			body = []byte(poisonItem)
 		}
 		one := &doorstepv1.BatchItem{
 			Id: id, Path: "/" + t.model + "/y", Headers: []*doorstepv1.Header{{Name: "model", Value: t.model}},
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -45,7 +45,7 @@
 	for i := range keptCallers {
 		load.Go(func() { s.keptCaller(ctx, i) })
 	}
-	load.Go(func() { s.deadlyCaller(ctx) })
+	load.Go(func() { s.poisonCaller(ctx) })
 	for i := range trainers {
 		load.Go(func() { s.trainer(ctx, i) })
 	}
--- a/internal/soak/deadly.go
+++ b/internal/soak/poison.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// deadly is the body of the request that crashes the replicas that run it, deadlyPause the mean
+	// poison is the body of the request that crashes the replicas that run it, poisonPause the mean
 	// pause between two arrivals.
-	deadly      = "deadly"
-	deadlyPause = 700 * time.Millisecond
+	poison      = "poison"
+	poisonPause = 700 * time.Millisecond
 	// crashDown is how long a crashed replica is gone, lapseAfter how long its record stays.
 	crashDown  = time.Second
 	lapseAfter = 3 * time.Second
@@ -24,27 +24,27 @@
 	lateRuns   = 3
 )
 
-// deadlyBody returns the body that crashes a service's replicas: plain ones alone.
-func deadlyBody(service string) string {
+// poisonBody returns the body that crashes a service's replicas: plain ones alone.
+func poisonBody(service string) string {
 	if service == platformtest.PlainService {
-		return deadly
+		return poison
 	}
 	return ""
 }
 
-// deadlyCaller sends the same request to any node, again and again.
-func (s *Soak) deadlyCaller(ctx context.Context) {
+// poisonCaller sends the same request to any node, again and again.
+func (s *Soak) poisonCaller(ctx context.Context) {
 	random := s.random(600)
 	for i := 0; ctx.Err() == nil; i++ {
-		pause(ctx, random, deadlyPause)
-		answer := s.send(ctx, s.pick(random), http.MethodPost, "/plain/x", fmt.Sprintf("deadly.%d", i), []byte(deadly))
+		pause(ctx, random, poisonPause)
+		answer := s.send(ctx, s.pick(random), http.MethodPost, "/plain/x", fmt.Sprintf("poison.%d", i), []byte(poison))
 		if answer.Err == nil {
-			s.check.Count(fmt.Sprint("deadly request: status ", answer.Status))
+			s.check.Count(fmt.Sprint("poison request: status ", answer.Status))
 		}
 	}
 }
 
-// crashed notes that the deadly request ends a replica, and has another started later.
+// crashed notes that the poison request ends a replica, and has another started later.
 func (s *Soak) crashed(id string) {
 	s.check.Crashed(time.Now(), s.calmFor() > inTouch)
 	s.mu.Lock()
@@ -68,7 +68,7 @@
 	})
 }
 
-// crashRecord is what was seen of the deadly request.
+// crashRecord is what was seen of the poison request.
 type crashRecord struct {
 	crashes int
 	// limitAt is when it had crashed as many replicas as it may.
@@ -76,7 +76,7 @@
 	late    int
 }
 
-// Crashed notes that the deadly request ends a replica; calm says that all nodes are in touch.
+// Crashed notes that the poison request ends a replica; calm says that all nodes are in touch.
 func (c *Checker) Crashed(now time.Time, calm bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,6 +90,6 @@
 	}
 	c.crash.late++
 	if c.crash.late > lateRuns {
-		c.violate("the deadly request ends replica %d, the %dth after all nodes must know of it", c.crash.crashes, c.crash.late)
+		c.violate("the poison request ends replica %d, the %dth after all nodes must know of it", c.crash.crashes, c.crash.late)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -210,7 +210,7 @@
 			}
 			return listed
 		},
-		CrashOn: deadlyBody(service), OnCrash: func(string) { s.crashed(id) },
+		CrashOn: poisonBody(service), OnCrash: func(string) { s.crashed(id) },
 		OnRun:    func(request string) { s.check.Ran(id, request) },
 		OnWhole:  s.check.MadeWhole,
 		OnFailed: s.check.Failed,
--- a/internal/version/batch/quarantine.go
+++ b/internal/version/batch/quarantine.go
@@ -17,7 +17,7 @@
 
 // runsApart reports whether an item shares no replica with others of which the same is true: one more
 // crash has it held. Items run for seconds beside many others, so that in a small fleet those of a job
-// follow a deadly one from replica to replica. Apart from one another, only the deadly one meets a third
+// follow a poison one from replica to replica. Apart from one another, only the poison one meets a third
 // crash. Items that are not suspected so far run as usual: of 451 requests that were at replicas that
 // ended on three days with ten mass crashes each, 4 met a second crash.
 func (o *ownedJob) runsApart(one *item) bool {
--- a/internal/version/batch/quarantine_test.go
+++ b/internal/version/batch/quarantine_test.go
@@ -50,22 +50,22 @@
 	f.add()
 }
 
-// TestBystandersOfADeadlyItemAreNotHeld: an item ends each replica that begins it. In a fleet of three
+// TestBystandersOfAPoisonItemAreNotHeld: an item ends each replica that begins it. In a fleet of three
 // the others of its job follow it from replica to replica, and met three ends as it did: they were
 // held with it, and their job never became whole (one run in six of the whole-request test beside
 // busy processes).
-func TestBystandersOfADeadlyItemAreNotHeld(t *testing.T) {
+func TestBystandersOfAPoisonItemAreNotHeld(t *testing.T) {
 	b := newBench("a", newStore())
 	b.fleet = newFleet(3)
 	job := newJob("j", 5)
 	for i, one := range job.Items {
 		one.Body = fmt.Append(nil, "body ", i)
 	}
-	job.Items[0].Id = "deadly"
+	job.Items[0].Id = "poison"
 	b.accept(job)
-	ends := endReplicasUnder(b, "deadly")
+	ends := endReplicasUnder(b, "poison")
 	if ends != quarantine.CrashLimit {
-		t.Errorf("the deadly item ended %d replicas", ends)
+		t.Errorf("the poison item ended %d replicas", ends)
 	}
 	for range 8 {
 		for _, run := range b.takeRuns() {
@@ -77,14 +77,14 @@
 	for _, result := range b.results(t, "j") {
 		done = append(done, result.Id)
 	}
-	if len(done) != 4 || strings.Contains(strings.Join(done, " "), "deadly") {
-		t.Errorf("%v are done, should be all but the deadly item", done)
+	if len(done) != 4 || strings.Contains(strings.Join(done, " "), "poison") {
+		t.Errorf("%v are done, should be all but the poison item", done)
 	}
 }
 
 // endReplicasUnder ends the replica of each run of an item, with all runs there, until the item runs no
 // more. It returns how many replicas ended.
-func endReplicasUnder(b *bench, deadly string) int {
+func endReplicasUnder(b *bench, poison string) int {
 	ends := 0
 	var active []task.Run
 	for range 20 {
@@ -92,7 +92,7 @@
 		active = append(active, b.takeRuns()...)
 		where := ""
 		for _, run := range active {
-			if run.Item == deadly {
+			if run.Item == poison {
 				where = run.Replica
 			}
 		}
