Held items are tried again, as callers' requests are

Cause, found by reading the change: an item's owner took a trial that is due for a reason to hold. The owner claims the trial and runs the item once; a scoring call has one attempt. TestHeldItemsAreTriedAgain fails without the claim.

--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -80,6 +80,8 @@
 	interruptions, moves int
 	// request is what its runs ask for, scoringRequest what its scoring calls do.
 	request, scoringRequest quarantine.Request
+	// runTrial and scoringTrial are their trials.
+	runTrial, scoringTrial trial
 	// header is the request's, long tells that its text is among the longest.
 	header http.Header
 	long   bool
--- a/internal/version/batch/quarantine.go
+++ b/internal/version/batch/quarantine.go
@@ -8,11 +8,35 @@
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 )
 
-// quarantined reports whether a request of this job is kept from replicas, as it crashes those that
-// run it. The item waits until it may be given up: its job's bounds allow no earlier end. It is
-// never tried again meanwhile, as a trial comes later than the results are due.
-func (o *ownedJob) quarantined(now time.Time, request quarantine.Request) bool {
-	return o.jobs.options.Quarantine.Judge(now, request.Fingerprint).State != quarantine.Clear
+// trial is the state of a held request's trial at its item.
+type trial struct{ claiming, granted bool }
+
+// permitted reports whether a request of this job may be sent to a replica. One that crashes those
+// that run it waits until it is tried again or its item may be given up: the job's bounds allow no
+// earlier end.
+func (o *ownedJob) permitted(now time.Time, request quarantine.Request, t *trial) bool {
+	if t.granted {
+		return true
+	}
+	switch o.jobs.options.Quarantine.Judge(now, request.Fingerprint).State {
+	case quarantine.Clear:
+		return true
+	case quarantine.OnTrial:
+		o.claimTrial(now, request, t)
+	case quarantine.Held:
+	}
+	return false
+}
+
+// claimTrial claims the next trial of a held request.
+func (o *ownedJob) claimTrial(now time.Time, request quarantine.Request, t *trial) {
+	if t.claiming {
+		return
+	}
+	t.claiming = true
+	o.jobs.options.Quarantine.Claim(now, request.Fingerprint, func(_ time.Time, granted bool) {
+		*t = trial{granted: granted}
+	})
 }
 
 // runsApart reports whether an item shares no replica with others of which the same is true: one more
--- a/internal/version/batch/quarantine_test.go
+++ b/internal/version/batch/quarantine_test.go
@@ -82,6 +82,32 @@
 	}
 }
 
+// TestHeldItemsAreTriedAgain: the replicas' software is mended, and the next item that asks for the same
+// runs once the quarantine has a trial due.
+func TestHeldItemsAreTriedAgain(t *testing.T) {
+	b := newBench("a", newStore())
+	b.fleet = newFleet(3)
+	b.route.MaxQueue = time.Hour
+	job := newJob("j", 1)
+	job.Items[0].Id = "poison"
+	b.accept(job)
+	endReplicasUnder(b, "poison")
+	b.pass(time.Minute)
+	if runs := b.takeRuns(); len(runs) != 0 {
+		t.Errorf("%d runs of a held item", len(runs))
+	}
+	b.pass(time.Minute)
+	runs := b.takeRuns()
+	if len(runs) != 1 {
+		t.Fatalf("%d runs once its trial is due", len(runs))
+	}
+	b.finish(runs[0], task.RunCompleted, 2, 4)
+	b.pass(500 * time.Millisecond)
+	if got := b.results(t, "j"); len(got) != 1 || !got[0].Completed {
+		t.Errorf("%v", got)
+	}
+}
+
 // endReplicasUnder ends the replica of each run of an item, with all runs there, until the item runs no
 // more. It returns how many replicas ended.
 func endReplicasUnder(b *bench, poison string) int {
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -39,7 +39,7 @@
 	full := false
 	for _, i := range o.order {
 		one := &o.items[i]
-		if one.state != itemWaiting || one.unsaved || now.Before(one.notAt) || o.quarantined(now, one.request) {
+		if one.state != itemWaiting || one.unsaved || now.Before(one.notAt) || !o.permitted(now, one.request, &one.runTrial) {
 			continue
 		}
 		if !o.start(now, i, route) {
@@ -67,6 +67,7 @@
 		return false
 	}
 	leave := o.enterApart(one, chosen.ID)
+	one.runTrial = trial{}
 	if content.Group != "" && !one.long {
 		o.prompts[content.Group] = chosen.ID
 	}
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -58,7 +58,7 @@
 func (o *ownedJob) scoreItem(now time.Time, index int, full map[*port.Route]bool) {
 	one := &o.items[index]
 	// The call goes on once its failures are on record, as with runs.
-	if one.unsaved || one.scoring == nil && now.Before(one.notAt) || o.quarantined(now, one.scoringRequest) {
+	if one.unsaved || one.scoring == nil && now.Before(one.notAt) || !o.permitted(now, one.scoringRequest, &one.scoringTrial) {
 		return
 	}
 	route := o.scoringRoute(index)
@@ -115,9 +115,14 @@
 		full[route] = true
 		return
 	}
-	o.items[index].scoring = &scoringTry{
+	one := &o.items[index]
+	one.scoring = &scoringTry{
 		relay: relay.New(now, route, o.scoringTime(now)), exclude: map[string]bool{}, open: map[uint64]bool{},
 	}
+	if one.scoringTrial.granted {
+		one.scoring.relay.LimitAttempts(1)
+		one.scoringTrial = trial{}
+	}
 	o.sendScoring(now, index, chosen)
 }
 
