--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -47,6 +47,9 @@
 	ResultDeadline time.Duration
 	// AllowAnonymous takes callers without a key also where there are tenants.
 	AllowAnonymous bool
+	// AllowedRegions are the only regions in which its requests may be served and kept; empty
+	// for any.
+	AllowedRegions []string
 }
 
 // Service is a set of replicas that serve alike.
@@ -63,6 +66,16 @@
 	MemoryTokens int
 	// Scaling says how many replicas may be ordered, nil where none can be.
 	Scaling *Scaling
+	// Cold bounds what its replicas bear after a start, nil where they bear all at once.
+	Cold *ColdStart
+}
+
+// ColdStart bounds what a cold replica bears: well above the rate it falls over.
+type ColdStart struct {
+	// Lasts is how long a replica is cold after its start.
+	Lasts time.Duration
+	// PerSecond is the rate of requests that it bears meanwhile, of all nodes together.
+	PerSecond float64
 }
 
 // Scaling bounds the replicas of a service that can be ordered.
@@ -106,8 +119,18 @@
 	Slots   int
 	// Draining replicas get no new work.
 	Draining bool
+	// ColdFor is how much longer the replica is cold, as of when it wrote the record.
+	ColdFor time.Duration
 	// Versions are the weights it holds, by model.
 	Versions map[string]int64
+	// Revision is that of the record, so that one that is read again is not taken for news.
+	Revision int64
+}
+
+// Evacuation says that a zone's replicas are to get nothing, until it is lifted.
+type Evacuation struct {
+	Zone   string
+	Lifted bool
 }
 
 // VersionTarget is the newest version that was named for a model.
@@ -124,6 +147,8 @@
 	Replicas []ReplicaRecord
 	Gone     []string
 	Targets  []VersionTarget
+	// Evacuations are zones whose evacuation was asked for or lifted.
+	Evacuations []Evacuation
 }
 
 // OrderVersion asks a replica to load a version of a model.
--- a/internal/port/tenant.go
+++ b/internal/port/tenant.go
@@ -15,4 +15,7 @@
 	Name string
 	// Keys are the digests of the API keys that its callers may use.
 	Keys []KeyDigest
+	// AllowedRegions are the only regions in which its requests may be served and kept; empty
+	// for any.
+	AllowedRegions []string
 }
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,7 +174,7 @@
 	a.steps = a.newSteps()
 	a.trainers = a.newTrainerMux()
 	a.node = cluster.New(a.startedAt, cluster.Options{
-		Name: options.Settings.Name, Zone: options.Settings.Zone, Incarnation: options.Incarnation, Decoder: options.Protocol,
+		Name: options.Settings.Name, Topology: options.Settings.Topology(), Cold: options.Settings.Cold, Incarnation: options.Incarnation, Decoder: options.Protocol,
 		OrderPause: options.Settings.Orders.Pause(), Duties: dutiesOf(options.Settings),
 		WallAhead: func() time.Duration { return -a.clock.Suspended() },
 	})
@@ -229,7 +230,7 @@
 		a.log.add(event.SettingsReloaded, "error", err.Error())
 		return
 	}
-	a.log.add(event.SettingsReloaded, "differs", *read != *options.Settings)
+	a.log.add(event.SettingsReloaded, "differs", !reflect.DeepEqual(read, options.Settings))
 }
 
 // do calls the node under the lock and starts the tasks that it leaves. Starting a
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/recordwatch"
+	"github.com/doorstep/doorstep/internal/process/settings"
 	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/version/batch"
 	"github.com/doorstep/doorstep/internal/version/configuration"
@@ -47,7 +48,11 @@
 
 // Options configure a Node.
 type Options struct {
-	Name, Zone string
+	Name string
+	// Topology is where the node stands among zones and regions.
+	Topology port.Topology
+	// Cold bounds what cold replicas get.
+	Cold settings.Cold
 	// Incarnation differs from that of any other life of this node.
 	Incarnation uint64
 	Decoder     DeploymentDecoder
@@ -118,7 +123,7 @@
 	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand})
 	n.operators = configuration.Empty()
 	n.watchTables()
-	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Zone, "incarnation", options.Incarnation)
+	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Topology.Zone, "incarnation", options.Incarnation)
 	return n
 }
 
--- a/internal/process/cluster/cluster_test.go
+++ b/internal/process/cluster/cluster_test.go
@@ -33,7 +33,7 @@
 }
 
 func newNode() *Node {
-	return New(start, Options{Name: "n", Zone: "z", Incarnation: 1, Decoder: decoder{}, OrderPause: time.Second})
+	return New(start, Options{Name: "n", Topology: port.Topology{Zone: "z"}, Incarnation: 1, Decoder: decoder{}, OrderPause: time.Second})
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -57,6 +57,7 @@
 func (n *Node) putReplica(put endpoint.Change) {
 	delete(n.lapses.kept, put.Endpoint.ID)
 	put.Endpoint.Held = n.holds(put.Endpoint)
+	put.Endpoint.Region = n.options.Topology.RegionOf(put.Endpoint.Zone)
 	n.noteReplica(put)
 }
 
--- a/internal/process/cluster/lapse_test.go
+++ b/internal/process/cluster/lapse_test.go
@@ -75,7 +75,7 @@
 
 // TestListedReplicas: a whole reading drops what it does not list, a change what it names.
 func TestListedReplicas(t *testing.T) {
-	n := New(start, Options{Name: "n", Zone: "z", Incarnation: 1, Decoder: replicaDecoder{}, OrderPause: time.Second})
+	n := New(start, Options{Name: "n", Topology: port.Topology{Zone: "z"}, Incarnation: 1, Decoder: replicaDecoder{}, OrderPause: time.Second})
 	record := func(key string, deleted bool) port.Record {
 		return port.Record{RecordKey: port.RecordKey{Table: "replicas", Key: key}, Deleted: deleted}
 	}
--- a/internal/process/cluster/operators.go
+++ b/internal/process/cluster/operators.go
@@ -45,7 +45,7 @@
 // duties again afterwards. It answers on, but wants no new connections.
 func (n *Node) drain(now time.Time) {
 	drained := configuration.Drained(n.operators, doorstepv1.DrainKind_DRAIN_KIND_NODE, n.options.Name) ||
-		configuration.Drained(n.operators, doorstepv1.DrainKind_DRAIN_KIND_ZONE, n.options.Zone)
+		configuration.Drained(n.operators, doorstepv1.DrainKind_DRAIN_KIND_ZONE, n.options.Topology.Zone)
 	if drained == n.drained || n.Stopping() {
 		return
 	}
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -76,7 +76,7 @@
 
 func (n *Node) query(now time.Time) *endpoint.Query {
 	n.rotation++
-	return &endpoint.Query{Now: now, Zone: n.options.Zone, Rotation: n.rotation}
+	return &endpoint.Query{Now: now, Zone: n.options.Topology.Zone, Rotation: n.rotation}
 }
 
 // pick chooses an endpoint of the route's services. One that was ejected is better than
--- a/internal/process/cluster/status.go
+++ b/internal/process/cluster/status.go
@@ -42,7 +42,7 @@
 	counts := n.jobs.Counts()
 	least, _, _ := n.clock.bounds(now)
 	status := &doorstepv1.NodeStatus{
-		Zone: n.options.Zone, Incarnation: n.options.Incarnation, Ready: n.Ready(now), JobsOwned: int32(counts.Owned), ItemsRunning: int32(counts.Running),
+		Zone: n.options.Topology.Zone, Incarnation: n.options.Incarnation, Ready: n.Ready(now), JobsOwned: int32(counts.Owned), ItemsRunning: int32(counts.Running),
 		AtMs: least.Milliseconds(),
 	}
 	if reading, known := n.clock.reading(now); known {
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -40,6 +40,8 @@
 	Tokens int
 	// UsedAt is when the last attempt was sent.
 	UsedAt time.Time
+	// Region is that of the endpoint's zone, empty if it is not known.
+	Region string
 	// Held is set while an operator drains the endpoint or its zone.
 	Held bool
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -15,6 +15,8 @@
 	"github.com/knadh/koanf/providers/confmap"
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
+
+	"github.com/doorstep/doorstep/internal/port"
 )
 
 // Settings are one node's.
@@ -22,6 +24,10 @@
 	// Name is the node's name, Zone its zone.
 	Name string `koanf:"name" validate:"required"`
 	Zone string `koanf:"zone" validate:"required"`
+	// Region is the node's region, Zones tell that of each zone; empty for a deployment of one
+	// region.
+	Region string       `koanf:"region" validate:"required_with=Zones"`
+	Zones  []ZoneRegion `koanf:"zones" validate:"unique=Name,dive"`
 	// Listen are the addresses that the node listens on, host and port.
 	Listen Listen `koanf:"listen"`
 	// Store is where the record store is.
@@ -30,6 +36,8 @@
 	Orders Orders `koanf:"orders"`
 	// Duties are the calls to the platform that one node at a time makes.
 	Duties Duties `koanf:"duties"`
+	// Cold bounds what cold replicas get.
+	Cold Cold `koanf:"cold"`
 	// Tenants say how callers' keys are taken away.
 	Tenants Tenants `koanf:"tenants"`
 	// Memory bounds the process.
@@ -38,6 +46,28 @@
 	Log Log `koanf:"log"`
 }
 
+// ZoneRegion names a zone and the region that it lies in.
+type ZoneRegion struct {
+	Name   string `koanf:"name" validate:"required"`
+	Region string `koanf:"region" validate:"required"`
+}
+
+// Topology returns where the node stands among the zones.
+func (s *Settings) Topology() port.Topology {
+	topology := port.Topology{Zone: s.Zone, Region: s.Region, Regions: map[string]string{}}
+	for _, one := range s.Zones {
+		topology.Regions[one.Name] = one.Region
+	}
+	return topology
+}
+
+// Cold bounds the requests that a cold replica gets in any second, of all nodes together: Overshoot
+// times the rate that its service names, and Slack more.
+type Cold struct {
+	Overshoot float64 `koanf:"overshoot" validate:"omitempty,min=1,max=1000"`
+	Slack     float64 `koanf:"slack" validate:"min=0,max=1000000"`
+}
+
 // Listen are addresses to listen on.
 type Listen struct {
 	// Requests takes clients, Readiness the question whether the node wants them.
@@ -203,6 +233,8 @@
 		return "host:port"
 	case "oneof":
 		return "one of: " + strings.ReplaceAll(one.Param(), " ", ", ")
+	case "unique":
+		return "each " + strings.ToLower(one.Param()) + " once"
 	case "min":
 		return "at least " + one.Param()
 	case "max":
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -9,6 +9,9 @@
 const good = `
 name: a-1
 zone: a
+region: north
+zones: [{name: a, region: north}, {name: b, region: south}]
+cold: {overshoot: 1.5, slack: 5}
 listen: {requests: "127.0.0.1:1", readiness: "127.0.0.1:2"}
 store: {address: "127.0.0.1:3"}
 orders: {pause_ms: 3000}
@@ -40,6 +43,11 @@
 		{"negative window", "usage_window_s: 5", "usage_window_s: -5", "duties.usage_window_s"},
 		{"endless lateness", "usage_late_s: 10", "usage_late_s: 100000", "duties.usage_late_s"},
 		{"negative age of keys", "revocation_ms: 5000", "revocation_ms: -1", "tenants.revocation_ms"},
+		{"zones without a region", "region: north\n", "", "region"},
+		{"a zone twice", "name: b", "name: a", "zones"},
+		{"a zone of no region", "{name: b, region: south}", "{name: b}", "zones[1].region"},
+		{"cold replicas below their rate", "overshoot: 1.5", "overshoot: 0.5", "cold.overshoot"},
+		{"negative slack", "slack: 5", "slack: -5", "cold.slack"},
 		{"bad level", "level: info", "level: loud", "log.level"},
 	}
 	for _, c := range cases {
@@ -93,3 +101,17 @@
 		t.Error("a platform without an address has no duties")
 	}
 }
+
+// TestTopology: the region of each zone is known, the node's own also where the zones are not told.
+func TestTopology(t *testing.T) {
+	loaded, err := Load([]byte(good), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	topology := loaded.Topology()
+	for zone, region := range map[string]string{"a": "north", "b": "south", "c": ""} {
+		if got := topology.RegionOf(zone); got != region {
+			t.Errorf("zone %s lies in %q, not in %q", zone, got, region)
+		}
+	}
+}
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
@@ -144,6 +145,14 @@
 	return report
 }
 
+// regions are those of the zones.
+var regions = map[string]string{"zone-0": "region-0", "zone-1": "region-0", "zone-2": "region-1"}
+
+// topologyAt returns the topology as a node in a zone knows it.
+func topologyAt(zone string) port.Topology {
+	return port.Topology{Zone: zone, Region: regions[zone], Regions: regions}
+}
+
 // node is one process, in one life after the other.
 type node struct {
 	world *World
@@ -181,7 +190,7 @@
 	n.trouble(n.world.Now)
 	life := n.life
 	n.node = cluster.New(n.world.Now, cluster.Options{
-		Name: n.name, Zone: n.zone, Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
+		Name: n.name, Topology: topologyAt(n.zone), Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
 		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(),
 	})
 	n.world.Every(tickEvery, func() bool {
@@ -309,6 +318,8 @@
 	replicaTable  = "replicas"
 	routesKey     = "routes"
 	targetPrefix  = "target/"
+	// evacuationPrefix begins the keys of zones whose replicas are to get nothing.
+	evacuationPrefix = "evacuate/"
 )
 
 // decoder reads the records of the simulated deployment.
@@ -336,6 +347,9 @@
 				return change, err
 			}
 			change.Replicas = append(change.Replicas, one)
+		case strings.HasPrefix(record.Key, evacuationPrefix):
+			change.Evacuations = append(change.Evacuations, port.Evacuation{Zone: strings.TrimPrefix(record.Key, evacuationPrefix), Lifted: record.Deleted})
+		case record.Deleted:
 		case record.Key == routesKey:
 			change.Routes = &port.RouteTable{}
 			if err := json.Unmarshal(record.Value, change.Routes); err != nil {
