Operators lift the quarantine of a request

Cause: a request that crashed replicas was held until its next trial, up to 50 minutes after the replicas had been mended; operators could only look on. Change: 'lift quarantine REQUEST' puts the request and the store's clock into the operators' configuration, by the same conditional commit, token and history as any command. Nodes drop what was noted up to then and ignore records of it that are written late; later crashes count anew. Ruled out: deleting the records from the command line, as a crash written late would bring the hold back, and as the deletion would have no token or history.

--- a/internal/port/operator.go
+++ b/internal/port/operator.go
@@ -1,6 +1,10 @@
 package port
 
-import doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+import (
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+)
 
 // OperatorCall is one statement of an operator, already parsed.
 type OperatorCall struct {
@@ -57,6 +61,7 @@
 	StopExperiment   CommandKind = "stop experiment"
 	DrainTarget      CommandKind = "drain"
 	UndrainTarget    CommandKind = "undrain"
+	LiftQuarantine   CommandKind = "lift quarantine"
 	ShowStatus       CommandKind = "status"
 )
 
@@ -77,6 +82,10 @@
 	OtherShare uint32
 	// Drain is what a drain or undrain names.
 	Drain *doorstepv1.Drain
+	// Request is the fingerprint of the request whose quarantine is lifted.
+	Request string
+	// Clock is the record store's steady clock at which the command was carried out.
+	Clock time.Duration
 	// Token is the token asked about by status.
 	Token string
 }
--- a/internal/port/record.go
+++ b/internal/port/record.go
@@ -98,12 +98,18 @@
 // ReadRecord reads one record; one that is absent has revision 0. It is false when the
 // store did not answer.
 func ReadRecord(ctx context.Context, store RecordStore, key RecordKey) (Record, bool) {
+	record, _, ok := ReadRecordAt(ctx, store, key)
+	return record, ok
+}
+
+// ReadRecordAt is ReadRecord, and returns the store's steady clock at the reading.
+func ReadRecordAt(ctx context.Context, store RecordStore, key RecordKey) (Record, time.Duration, bool) {
 	result := store.Range(ctx, RecordRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00", Limit: 1})
 	if result.Status != RecordDone {
-		return Record{}, false
+		return Record{}, 0, false
 	}
 	if len(result.Records) == 0 {
-		return Record{RecordKey: key}, true
+		return Record{RecordKey: key}, result.Clock, true
 	}
-	return result.Records[0], true
+	return result.Records[0], result.Clock, true
 }
--- a/internal/process/quarantine/entry.go
+++ b/internal/process/quarantine/entry.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -48,11 +47,11 @@
 	if len(parts) != 3 {
 		return entryName{}, false
 	}
-	digest, err := hex.DecodeString(parts[0])
-	if err != nil || len(digest) != len(Fingerprint{}) {
+	fingerprint, ok := ParseFingerprint(parts[0])
+	if !ok {
 		return entryName{}, false
 	}
-	return entryName{Fingerprint(digest), entryKind(parts[1]), parts[2]}, true
+	return entryName{fingerprint, entryKind(parts[1]), parts[2]}, true
 }
 
 // Entry is one record as operators see it.
--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -36,5 +36,14 @@
 	return Fingerprint(digest.Sum(nil)[:len(Fingerprint{})])
 }
 
+// ParseFingerprint reads a fingerprint in hexadecimal digits; it is false for another text.
+func ParseFingerprint(text string) (Fingerprint, bool) {
+	digest, err := hex.DecodeString(text)
+	if err != nil || len(digest) != len(Fingerprint{}) {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(digest), true
+}
+
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -53,6 +53,8 @@
 	answered answeredSet
 	// removals are the records of requests that were answered.
 	removals map[port.RecordKey]bool
+	// lifts holds up to when operators declared void what is known of a request.
+	lifts map[Fingerprint]time.Duration
 	// unwritten says that there may be something to write, writing that a transaction is under way.
 	unwritten, writing           bool
 	retryAt, expireAt, collectAt time.Time
@@ -164,6 +166,10 @@
 		q.unreadable(record, err)
 		return
 	}
+	if q.void(name.fingerprint, decoded.At) {
+		q.remove(name)
+		return
+	}
 	s := q.suspect(name.fingerprint)
 	held := s.held()
 	s.route, s.tenant = decoded.Route, decoded.Tenant
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -71,6 +71,7 @@
 	Stop    *string `parser:"| 'stop' 'experiment' @(Word|String)"`
 	Drain   *target `parser:"| 'drain' @@"`
 	Undrain *target `parser:"| 'undrain' @@"`
+	Lift    *string `parser:"| 'lift' 'quarantine' @(Word|String|Number)"`
 	Status  *string `parser:"| 'status' 'of' @(Word|String|Number) )"`
 }
 
@@ -255,6 +256,8 @@
 		return &port.Command{Kind: port.DrainTarget, Drain: s.Drain.drain()}
 	case s.Undrain != nil:
 		return &port.Command{Kind: port.UndrainTarget, Drain: s.Undrain.drain()}
+	case s.Lift != nil:
+		return &port.Command{Kind: port.LiftQuarantine, Request: *s.Lift}
 	}
 	return &port.Command{Kind: port.ShowStatus, Token: *s.Status}
 }
--- a/internal/request/statement/statement_test.go
+++ b/internal/request/statement/statement_test.go
@@ -22,6 +22,7 @@
 		"stop experiment e":                                                             port.StopExperiment,
 		"drain replica language-model-3":                                                port.DrainTarget,
 		"undrain zone north/a":                                                          port.UndrainTarget,
+		"lift quarantine 0123456789abcdef0123456789abcdef":                              port.LiftQuarantine,
 		"status of 0f3a":                                                                port.ShowStatus,
 		"explain drain node n-1 # a comment":                                            port.DrainTarget,
 	}
--- a/internal/version/configuration/change.go
+++ b/internal/version/configuration/change.go
@@ -63,6 +63,8 @@
 		return drain(next, command.Drain)
 	case port.UndrainTarget:
 		return undrain(next, command.Drain)
+	case port.LiftQuarantine:
+		return liftQuarantine(next, command)
 	}
 	return fmt.Errorf("command %q does not change the configuration", command.Kind)
 }
--- a/internal/version/configuration/change_test.go
+++ b/internal/version/configuration/change_test.go
@@ -65,6 +65,8 @@
 		{"drain zone z; undrain zone z", "", func(c *doorstepv1.Configuration) bool { return len(c.Drains) == 0 && c.Revision == 3 }},
 		{"drain zone z; drain zone z", "drained already", nil},
 		{"undrain node n", "not drained", nil},
+		{"lift quarantine 0123456789abcdef0123456789abcdef; lift quarantine 0123456789abcdef0123456789abcdef", "", func(c *doorstepv1.Configuration) bool { return len(c.Lifts) == 1 }},
+		{"lift quarantine fraud", "is no request", nil},
 	}
 	for _, c := range cases {
 		result, err := apply(t, c.text)
--- a/internal/version/configuration/command.go
+++ b/internal/version/configuration/command.go
@@ -26,6 +26,8 @@
 	configuration *doorstepv1.Configuration
 	// revision is the record's, the condition of a change.
 	revision int64
+	// clock is the store's steady clock at the reading.
+	clock time.Duration
 }
 
 // Submit carries a command out before the context ends: accepted, refused, or undecided
@@ -77,7 +79,9 @@
 	if call.IfRevision != 0 && call.IfRevision != present {
 		return c.refuse(ctx, call, c.winner(ctx, present), present)
 	}
-	next, err := Apply(seen.configuration, call.Command)
+	timed := *call.Command
+	timed.Clock = seen.clock
+	next, err := Apply(seen.configuration, &timed)
 	if err != nil {
 		return c.refuse(ctx, call, err.Error(), present)
 	}
@@ -153,7 +157,7 @@
 }
 
 func (c *Commander) read(ctx context.Context) (snapshot, bool) {
-	record, ok := port.ReadRecord(ctx, c.Store, Key())
+	record, clock, ok := port.ReadRecordAt(ctx, c.Store, Key())
 	if !ok {
 		return snapshot{}, false
 	}
@@ -161,7 +165,7 @@
 	if err != nil {
 		return snapshot{}, false
 	}
-	return snapshot{configuration: decoded, revision: record.Revision}, true
+	return snapshot{configuration: decoded, revision: record.Revision, clock: clock}, true
 }
 
 // Read returns the configuration as it stands in the store.
--- a/internal/version/configuration/difference.go
+++ b/internal/version/configuration/difference.go
@@ -28,6 +28,9 @@
 		for _, drain := range c.Drains {
 			add("drain "+drain.Name, drain.String())
 		}
+		for _, lift := range c.Lifts {
+			add("lift "+lift.Request, lift.String())
+		}
 		return names, texts
 	}
 	beforeNames, beforeTexts := rows(before)
