Zones that the platform evacuates get nothing

Cause: nothing read the records by which the platform takes a zone out of use. Simulator: a fault and a checker.

--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -15,6 +15,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/version/batch"
@@ -116,6 +117,7 @@
 		}
 		whole.Replicas = append(whole.Replicas, part.Replicas...)
 		whole.Targets = append(whole.Targets, part.Targets...)
+		whole.Evacuations = append(whole.Evacuations, part.Evacuations...)
 	}
 	return whole
 }
@@ -185,15 +187,19 @@
 }
 
 func (g *gathering) replicas() [][]string {
-	drained := g.configuration()
+	drained, deployment := g.configuration(), g.deployment()
+	evacuated := map[string]bool{}
+	for _, one := range deployment.Evacuations {
+		evacuated[one.Zone] = !one.Lifted
+	}
 	var rows [][]string
-	for _, one := range g.deployment().Replicas {
+	for _, one := range deployment.Replicas {
+		known := endpoint.Endpoint{ReplicaRecord: one, Evacuated: evacuated[one.Zone]}
+		known.Held = configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_REPLICA, one.ID) ||
+			configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_ZONE, one.Zone)
 		state := "ready"
-		if one.Draining {
-			state = "leaving"
-		} else if configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_REPLICA, one.ID) ||
-			configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_ZONE, one.Zone) {
-			state = "drained"
+		if reason := known.Withheld(); reason != endpoint.NotWithheld {
+			state = string(reason)
 		}
 		policies := slices.Sorted(maps.Keys(one.Versions))
 		if len(policies) == 0 {
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -79,11 +79,14 @@
 			return
 		}
 		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
-		if chosen != nil {
+		switch {
+		case chosen != nil:
 			chosen.InFlight++
 			chosen.UsedAt = now
 			x.exclude[chosen.ID] = true
 			x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
+		case x.agent.node.AllEvacuated(x.route):
+			x.relay.Evacuated()
 		}
 	})
 	return chosen
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/request/relay"
 	"github.com/doorstep/doorstep/internal/version/batch"
@@ -83,6 +84,10 @@
 		return a.node.DiscoveryAge(a.clock.Now()).Seconds()
 	})
 	gauge("doorstep_replicas", "Replicas listed.", func() float64 { return float64(len(a.node.Endpoints().All())) })
+	gauge("doorstep_zones_evacuated", "Zones whose replicas get nothing, as the platform takes them out of use.", func() float64 {
+		return float64(len(a.node.Evacuated()))
+	})
+	m.registerWithheld(a)
 	gauge("doorstep_ready", "1 while the node wants new connections.", func() float64 {
 		if a.node.Ready(a.clock.Now()) {
 			return 1
@@ -127,6 +132,21 @@
 		Help: "Connections opened to replicas."}, func() float64 { return float64(a.upstream.Opened()) }))
 }
 
+// registerWithheld tells how many replicas get no new work, for each reason.
+func (m *metrics) registerWithheld(a *Agent) {
+	for _, reason := range []endpoint.Withheld{endpoint.WithheldLeaving, endpoint.WithheldDrained, endpoint.WithheldEvacuated} {
+		options := prometheus.GaugeOpts{
+			Name: "doorstep_replicas_withheld", Help: "Replicas that get no new work, by the reason.",
+			ConstLabels: prometheus.Labels{"reason": string(reason)},
+		}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return float64(a.node.WithheldReplicas()[reason])
+		}))
+	}
+}
+
 func (m *metrics) answer(route *port.Route, status int, took time.Duration) {
 	m.answers.WithLabelValues(route.Name, strconv.Itoa(status)).Observe(took.Seconds())
 }
@@ -142,7 +162,7 @@
 // caller's input would make a label for each.
 var refusalReasons = []string{
 	reasonNoConfiguration, reasonNoRoute, reasonLargeHead, reasonNoID, reasonLargeBody, reasonCutBody, reasonNoJob, reasonStoreSilent,
-	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, relay.ReasonDeadline, relay.ReasonNoAttempt,
+	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, relay.ReasonDeadline, relay.ReasonNoAttempt, relay.ReasonEvacuated,
 }
 
 var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached", relay.Refused: "refused"}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -84,9 +84,11 @@
 	rollout *rollout.Rollout
 	watches []*recordwatch.Watch
 	// shared is the watch of the shared table, the last of the watches.
-	shared     *recordwatch.Watch
-	operators  *doorstepv1.Configuration
-	drained    bool
+	shared    *recordwatch.Watch
+	operators *doorstepv1.Configuration
+	drained   bool
+	// evacuated holds the zones whose replicas get nothing.
+	evacuated  map[string]bool
 	lapses     lapses
 	status     statusWriter
 	clock      storeClock
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -134,7 +134,7 @@
 func (n *Node) zonesOf(service port.Service) []scaling.Zone {
 	byName := map[string]*scaling.Zone{}
 	for name := range service.Scaling.Prices {
-		byName[name] = &scaling.Zone{Name: name}
+		byName[name] = &scaling.Zone{Name: name, Evacuated: n.evacuated[name]}
 	}
 	slots := 0
 	for _, e := range n.endpoints.Service(service.Name) {
--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -54,9 +54,10 @@
 }
 
 // putReplica notes that a replica's record stands again.
-func (n *Node) putReplica(put endpoint.Change) {
+func (n *Node) putReplica(now time.Time, put endpoint.Change) {
 	delete(n.lapses.kept, put.Endpoint.ID)
 	put.Endpoint.Held = n.holds(put.Endpoint)
+	put.Endpoint.SetEvacuated(now, n.evacuated[put.Endpoint.Zone])
 	put.Endpoint.Region = n.options.Topology.RegionOf(put.Endpoint.Zone)
 	n.noteReplica(put)
 }
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -100,13 +100,16 @@
 	if change.Routes != nil {
 		n.apply(now, change.Routes)
 	}
+	if n.tellsConfiguration(table) {
+		n.onEvacuations(now, change.Evacuations, whole)
+	}
 	for _, target := range change.Targets {
 		n.rollout.Name(target)
 	}
 	listed := map[string]bool{}
 	for _, record := range change.Replicas {
 		listed[record.ID] = true
-		n.putReplica(n.endpoints.Put(record))
+		n.putReplica(now, n.endpoints.Put(record))
 	}
 	for _, id := range change.Gone {
 		n.removeReplica(now, id)
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -44,6 +44,10 @@
 	Region string
 	// Held is set while an operator drains the endpoint or its zone.
 	Held bool
+	// Evacuated is set while the endpoint's zone is evacuated. EvacuatedUntil is when this node saw
+	// the evacuation lifted, zero otherwise: the replica may have turned cold meanwhile.
+	Evacuated      bool
+	EvacuatedUntil time.Time
 
 	told         int
 	toldAt       time.Time
@@ -197,8 +201,8 @@
 	e.toldAt = now
 }
 
-// Leaving reports whether the endpoint gets no new work, by its own word or an operator's.
-func (e *Endpoint) Leaving() bool { return e.Draining || e.Held }
+// Leaving reports whether the endpoint gets no new work, for whatever reason.
+func (e *Endpoint) Leaving() bool { return e.Withheld() != NotWithheld }
 
 // Registry holds the endpoints by the replicas' IDs.
 type Registry struct {
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -72,7 +72,7 @@
 	}
 )
 
-// NotDraining drops endpoints that leave.
+// NotDraining drops endpoints that get no new work.
 func NotDraining(_ *Query, e *Endpoint) bool { return !e.Leaving() }
 
 // NotExcluded drops endpoints that the request has been to.
@@ -157,12 +157,13 @@
 	return max(1-float64(q.BestPace)/float64(pace), 0)
 }
 
-// BestPace returns the least known time between two events, 0 when none is known.
+// BestPace returns the least known time between two events, 0 when none is known. Endpoints that
+// get no new work don't count: items would be rated against a pace that they can't have.
 func BestPace(now time.Time, candidates []*Endpoint) time.Duration {
 	best := time.Duration(0)
 	for _, one := range candidates {
 		pace := one.Pace(now)
-		if pace > 0 && (best == 0 || pace < best) && !one.Draining && !one.Ejected(now) {
+		if pace > 0 && (best == 0 || pace < best) && !one.Leaving() && !one.Ejected(now) {
 			best = pace
 		}
 	}
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -44,6 +44,8 @@
 	VersionNamed       = 720
 	VersionOrdered     = 721
 	VersionLoaded      = 722
+	ZoneEvacuated      = 730
+	EvacuationLifted   = 731
 	StoreLost          = 801
 	StoreRegained      = 802
 	RecordUnreadable   = 803
@@ -110,6 +112,8 @@
 	{VersionNamed, Info, "version named", "A trainer named a newer version of a model."},
 	{VersionOrdered, Info, "version ordered", "The lease's holder ordered a replica to load a version; status is its answer."},
 	{VersionLoaded, Info, "version loaded", "A replica reports the version that it was ordered to load."},
+	{ZoneEvacuated, Warn, "zone evacuated", "The platform asked that the replicas of a zone get nothing; replicas and requests of this node that are in flight there are named, which may end."},
+	{EvacuationLifted, Info, "evacuation lifted", "The replicas of a zone get work again; they may be cold."},
 	{StoreLost, Warn, "record store lost", "A watch of the record store broke; the node goes on with what it knows and reads the table anew."},
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -17,6 +17,9 @@
 	hedgePart = 2
 	// retryAfter tells callers when to come back after a refusal.
 	retryAfter = 200 * time.Millisecond
+	// evacuatedRetryAfter is told where all replicas lie in evacuated zones: zones come back after
+	// seconds at the soonest, so that a caller who comes back earlier is refused again.
+	evacuatedRetryAfter = time.Second
 	// defaultDeadline holds for callers that name none.
 	defaultDeadline = 30 * time.Second
 )
@@ -25,6 +28,7 @@
 const (
 	ReasonDeadline  = "deadline"
 	ReasonNoAttempt = "no attempt left"
+	ReasonEvacuated = "the replicas are in evacuated zones"
 )
 
 // Outcome is how an attempt ended.
@@ -84,9 +88,11 @@
 	// mayHaveRun is set once an attempt was lost.
 	mayHaveRun bool
 	exhausted  bool
-	answered   bool
-	errored    bool
-	ended      bool
+	// evacuated is set once there is no replica left but in evacuated zones.
+	evacuated bool
+	answered  bool
+	errored   bool
+	ended     bool
 }
 
 // New returns the state of a request that arrived now. wait is how long its caller
@@ -125,6 +131,12 @@
 // NoEndpoint notes that no replica is left to try.
 func (r *Relay) NoEndpoint() { r.exhausted = true }
 
+// Evacuated notes that all replicas that could serve lie in evacuated zones.
+func (r *Relay) Evacuated() {
+	r.exhausted = true
+	r.evacuated = true
+}
+
 // Ended notes how an attempt ended.
 func (r *Relay) Ended(outcome Outcome) {
 	r.open--
@@ -165,6 +177,9 @@
 	if r.errored {
 		return Decision{Action: Deliver}
 	}
+	if r.evacuated {
+		return r.fail(ReasonEvacuated)
+	}
 	return r.fail(ReasonNoAttempt)
 }
 
@@ -196,7 +211,11 @@
 // fail tells the truth: 503 only if the request has not run and never will.
 func (r *Relay) fail(reason string) Decision {
 	if !r.mayHaveRun && r.open == 0 {
-		return Decision{Action: Fail, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Reason: reason}
+		after := retryAfter
+		if reason == ReasonEvacuated {
+			after = evacuatedRetryAfter
+		}
+		return Decision{Action: Fail, Status: http.StatusServiceUnavailable, RetryAfter: after, Reason: reason}
 	}
 	status := http.StatusBadGateway
 	if r.open > 0 {
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -81,6 +81,7 @@
 	itemJobs     map[string]*jobRecord
 	orders       map[string]orderRecord
 	poison       map[string]*poisonRecord
+	evacuations  evacuations
 	incarnations int
 	resultCount  int
 	orderCount   int
@@ -89,7 +90,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}}
+	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}, evacuations: newEvacuations()}
 }
 
 func (c *checker) violate(w *World, invariant, format string, values ...any) {
@@ -110,8 +111,8 @@
 
 // arrival is a request of an item's that reaches a replica.
 type arrival struct {
-	id, replica string
-	from        *node
+	id, replica, zone string
+	from              *node
 	// drainedAt is when the replica said that it leaves.
 	drainedAt time.Time
 }
@@ -121,6 +122,7 @@
 	if !known.maybe && known.pending == 0 {
 		c.violate(w, "refusals-true", "%s runs though its job was refused everywhere", a.id)
 	}
+	c.evacuated(w, a)
 	healthy := a.from.healthy(w.Now)
 	if !known.endedAt.IsZero() && healthy && w.Now.Sub(known.endedAt) > cancelWithin {
 		c.violate(w, "ends-respected", "%s runs %s after its job's end", a.id, w.Now.Sub(known.endedAt))
@@ -137,7 +139,7 @@
 		c.violate(w, "nothing-unasked", "%s runs and belongs to no job", one.task.Item)
 		return
 	}
-	c.reached(w, known, arrival{id: one.task.Item, replica: one.replica.ID, from: one.node, drainedAt: one.replica.drainedAt})
+	c.reached(w, known, arrival{id: one.task.Item, replica: one.replica.ID, zone: one.replica.zone, from: one.node, drainedAt: one.replica.drainedAt})
 	if one.task.Tenant != known.content.Tenant {
 		c.violate(w, "tenant-true", "%s runs for tenant %q, its job's is %q", one.task.Item, one.task.Tenant, known.content.Tenant)
 	}
--- a/internal/simulation/clustersim/check_scoring.go
+++ b/internal/simulation/clustersim/check_scoring.go
@@ -43,7 +43,7 @@
 		c.violate(w, "nothing-unasked", "%s runs and belongs to no item", one.task.Request)
 		return
 	}
-	c.reached(w, known, arrival{id: one.task.Request, replica: s.id, from: one.node, drainedAt: s.drainedAt})
+	c.reached(w, known, arrival{id: one.task.Request, replica: s.id, zone: scorerZone, from: one.node, drainedAt: s.drainedAt})
 	if one.task.Tenant != known.content.Tenant {
 		c.violate(w, "tenant-true", "%s runs for tenant %q, its job's is %q", one.task.Request, one.task.Tenant, known.content.Tenant)
 	}
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -46,6 +46,7 @@
 	{"scorer-loses", "a replica that scores loses half of its answers", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().losing) }},
 	{"scorer-slow", "a replica that scores takes twenty times as long", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().slow) }},
 	{"scorer-drains", "a replica that scores announces that it leaves, and goes", 12 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyScorer().drain() }},
+	{"zone-evacuated", "the platform takes a zone out of use, and back", 12 * time.Second, 8 * time.Second, evacuate},
 }
 
 // FindFaults resolves names, "all" and "none" to kinds of faults.
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -55,7 +55,7 @@
 	}
 	r := &replica{
 		Generator: &model.Generator{ID: fmt.Sprintf("replica-%d", w.check.incarnations), Slots: replicaSlots, Pace: pace, LoadFor: loadTime, Versions: versions, Unfenced: w.options.Unfenced},
-		world:     w, address: address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%3), up: true,
+		world:     w, address: address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%zoneCount), up: true,
 	}
 	w.replicas = append(w.replicas, r)
 	r.list()
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -16,6 +16,7 @@
 const (
 	scorerName    = "scorer"
 	scorerCount   = 3
+	scorerZone    = "zone-0"
 	scorerSlots   = 4
 	scoringTime   = 30 * time.Millisecond
 	slowScoring   = 600 * time.Millisecond
@@ -50,7 +51,7 @@
 // list writes the scorer's record.
 func (s *scorer) list() {
 	value, err := json.Marshal(port.ReplicaRecord{
-		ID: s.id, Service: scorerName, Address: s.address, Zone: "zone-0", Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
+		ID: s.id, Service: scorerName, Address: s.address, Zone: scorerZone, Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
 	})
 	if err != nil {
 		panic("a scorer must encode: " + err.Error())
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -145,6 +145,9 @@
 	return report
 }
 
+// zoneCount is how many zones there are.
+const zoneCount = 3
+
 // regions are those of the zones.
 var regions = map[string]string{"zone-0": "region-0", "zone-1": "region-0", "zone-2": "region-1"}
 
@@ -176,7 +179,7 @@
 
 func newNode(w *World, index int) *node {
 	ahead := time.Duration(w.random.Int64N(int64(2*wallSpread))) - wallSpread
-	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%3), wallAhead: ahead}
+	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%zoneCount), wallAhead: ahead}
 }
 
 func (n *node) start() {
@@ -258,6 +261,7 @@
 		n.carryOut(life, one)
 	}
 	w.check.configuration(w, n)
+	w.check.evacuationsKnown(w, n)
 }
 
 func (n *node) carryOut(life uint64, one task.Task) {
--- a/internal/version/rollout/group.go
+++ b/internal/version/rollout/group.go
@@ -57,6 +57,22 @@
 		return
 	}
 	sizes := groupSizes(len(endpoints), models, demand)
+	counts := g.fill(endpoints, models, targets, sizes)
+	g.balance(endpoints, models, targets, sizes, counts)
+}
+
+// join gives replicas a model that are no capacity for now, those of evacuated zones. They keep the
+// one that they have, and none is moved for the balance: they come back to where they were.
+func (g *groups) join(endpoints []*endpoint.Endpoint, targets, demand map[string]int64) {
+	models := trainedModels(endpoints, targets, demand)
+	if len(models) == 0 || g.shared {
+		return
+	}
+	g.fill(endpoints, models, targets, groupSizes(len(endpoints), models, demand))
+}
+
+// fill gives each replica a model that has none, and returns how many each model has.
+func (g *groups) fill(endpoints []*endpoint.Endpoint, models []string, targets map[string]int64, sizes map[string]int) map[string]int {
 	counts := map[string]int{}
 	var unassigned []*endpoint.Endpoint
 	for _, e := range endpoints {
@@ -72,7 +88,7 @@
 		g.modelOf[e.ID] = model
 		counts[model]++
 	}
-	g.balance(endpoints, models, targets, sizes, counts)
+	return counts
 }
 
 // forget drops the replicas that are not listed any more.
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -122,19 +122,38 @@
 func (r *Rollout) tickService(now time.Time, service string, members []*endpoint.Endpoint, demand map[string]int64) {
 	limit := r.limit(service)
 	loading := r.follow(now, members, limit)
-	staying := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return e.Leaving() })
-	r.groups.assign(staying, r.targets, demand)
-	for _, next := range r.wanted(staying) {
+	serving, evacuated := withheldAs(members, endpoint.NotWithheld), withheldAs(members, endpoint.WithheldEvacuated)
+	r.groups.assign(serving, r.targets, demand)
+	r.groups.join(evacuated, r.targets, demand)
+	atOnce := limit.atOnce(len(members))
+	loading = r.orderLoads(now, serving, loading, atOnce)
+	r.orderLoads(now, evacuated, loading, max(int(evacuatedLoads*float64(atOnce)), 1))
+}
+
+// evacuatedLoads is the part of the loads at once up to which replicas of evacuated zones load:
+// what serves goes first, and a load that has begun takes its place for a second.
+const evacuatedLoads = 0.5
+
+// withheldAs returns the replicas that get no new work for a reason.
+func withheldAs(members []*endpoint.Endpoint, reason endpoint.Withheld) []*endpoint.Endpoint {
+	return slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return e.Withheld() != reason })
+}
+
+// orderLoads orders the loads that replicas want while fewer than so many are under way, and
+// returns how many are then.
+func (r *Rollout) orderLoads(now time.Time, members []*endpoint.Endpoint, loading, atOnce int) int {
+	for _, next := range r.wanted(members) {
 		state := r.state(next.endpoint.ID)
 		if state.ordered || now.Before(state.notAt) {
 			continue
 		}
-		if loading >= limit.atOnce(len(members)) {
-			return
+		if loading >= atOnce {
+			break
 		}
 		loading++
 		r.order(now, next, state)
 	}
+	return loading
 }
 
 func byService(endpoints []*endpoint.Endpoint) map[string][]*endpoint.Endpoint {
--- a/internal/version/scaling/scaling.go
+++ b/internal/version/scaling/scaling.go
@@ -52,6 +52,8 @@
 	// Replicas counts those that stay, Slots is what one of them runs at once, 0 if none is listed
 	// anywhere.
 	Replicas, Slots int
+	// Evacuated zones get no work: they count as absent, and nothing is ordered for them.
+	Evacuated bool
 }
 
 // Service is one whose replicas can be ordered.
@@ -79,9 +81,18 @@
 type Scaler struct {
 	options Options
 	nextAt  time.Time
-	// peaks holds each service's work of late, zones what was ordered.
-	peaks map[string]*peak
-	zones map[zoneKey]*zoneState
+	// services holds what is known of each service of late, zones what was ordered.
+	services map[string]*serviceState
+	zones    map[zoneKey]*zoneState
+}
+
+// serviceState is what is known of a service.
+type serviceState struct {
+	// work is the work at hand of late.
+	work *peak
+	// inUse are the zones that share the work, changedAt is when they last changed.
+	inUse     []string
+	changedAt time.Time
 }
 
 type zoneKey struct{ service, zone string }
@@ -99,13 +110,13 @@
 
 // New returns a machine that has ordered nothing.
 func New(options Options) *Scaler {
-	return &Scaler{options: options, peaks: map[string]*peak{}, zones: map[zoneKey]*zoneState{}}
+	return &Scaler{options: options, services: map[string]*serviceState{}, zones: map[zoneKey]*zoneState{}}
 }
 
 // Tick orders what is due, if this node holds the lease.
 func (s *Scaler) Tick(now time.Time) {
 	if !s.options.Lease.Held(now) {
-		clear(s.peaks)
+		clear(s.services)
 		clear(s.zones)
 		return
 	}
@@ -119,13 +130,19 @@
 }
 
 func (s *Scaler) tickService(now time.Time, service Service) {
-	known := s.peaks[service.Name]
+	known := s.services[service.Name]
 	if known == nil {
-		known = &peak{since: now}
-		s.peaks[service.Name] = known
+		known = &serviceState{work: &peak{since: now}, inUse: zonesInUse(service)}
+		s.services[service.Name] = known
+	}
+	known.work.note(now, service.Items)
+	if inUse := zonesInUse(service); !slices.Equal(inUse, known.inUse) {
+		known.inUse, known.changedAt = inUse, now
 	}
-	known.note(now, service.Items)
 	for _, zone := range service.Zones {
+		if zone.Evacuated {
+			continue
+		}
 		state := s.zone(now, service, zone)
 		state.listed.note(now, zone.Replicas)
 		if wanted := s.wanted(now, service, zone, known); wanted != zone.Replicas && s.listed(now) {
@@ -134,6 +151,17 @@
 	}
 }
 
+// zonesInUse names the zones that share a service's work.
+func zonesInUse(service Service) []string {
+	var names []string
+	for _, zone := range service.Zones {
+		if !zone.Evacuated {
+			names = append(names, zone.Name)
+		}
+	}
+	return names
+}
+
 func (s *Scaler) zone(now time.Time, service Service, zone Zone) *zoneState {
 	key := zoneKey{service.Name, zone.Name}
 	state := s.zones[key]
@@ -151,16 +179,18 @@
 }
 
 // wanted returns how many replicas a zone should have.
-func (s *Scaler) wanted(now time.Time, service Service, zone Zone, work *peak) int {
+func (s *Scaler) wanted(now time.Time, service Service, zone Zone, known *serviceState) int {
 	bound := func(replicas int) int { return min(max(replicas, service.Min, 1), service.Max) }
-	needed := bound(replicasFor(work.most(now, peakFor), zone.Slots, len(service.Zones)))
+	needed := bound(replicasFor(known.work.most(now, peakFor), zone.Slots, len(known.inUse)))
 	if float64(needed) >= (1+growBy)*float64(zone.Replicas) || zone.Replicas < service.Min {
 		return bound(max(needed, s.zone(now, service, zone).listed.most(now, floorFor)))
 	}
-	if now.Sub(work.since) < shrinkAfter {
+	// A zone that comes back takes its share while its replicas may be cold, so nothing is given
+	// back at once of what was ordered while it was away.
+	if now.Sub(known.work.since) < shrinkAfter || now.Sub(known.changedAt) < shrinkAfter {
 		return zone.Replicas
 	}
-	sufficed := bound(replicasFor(work.most(now, shrinkAfter), zone.Slots, len(service.Zones)))
+	sufficed := bound(replicasFor(known.work.most(now, shrinkAfter), zone.Slots, len(known.inUse)))
 	if float64(sufficed) <= shrinkTo*float64(zone.Replicas) {
 		return sufficed
 	}
