--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -72,7 +72,7 @@
 	}
 )
 
-// NotDraining drops endpoints that get no new work.
+// NotDraining drops endpoints that leave.
 func NotDraining(_ *Query, e *Endpoint) bool { return !e.Leaving() }
 
 // NotExcluded drops endpoints that the request has been to.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -121,3 +121,30 @@
 		t.Errorf("%s left", got)
 	}
 }
+
+// TestEvacuatedReplicas: the refusal says why, and asks the caller to come back later than others do; a
+// request that may have run is not refused as one that did not.
+func TestEvacuatedReplicas(t *testing.T) {
+	route := port.Route{Kind: port.RouteNonIdempotent, MaxAttempts: 3, Timeout: ms(1000)}
+	for _, c := range []struct {
+		name   string
+		before []Outcome
+		status int
+		after  time.Duration
+	}{
+		{"at once", nil, http.StatusServiceUnavailable, evacuatedRetryAfter},
+		{"after a replica turned it away", []Outcome{NotRun}, http.StatusServiceUnavailable, evacuatedRetryAfter},
+		{"after a replica broke off", []Outcome{NotRun, Broken}, http.StatusBadGateway, 0},
+	} {
+		r := New(start, &route, 0)
+		for _, one := range c.before {
+			r.Launched(start)
+			r.Ended(one)
+		}
+		r.Evacuated()
+		got := r.Next(start)
+		if got.Action != Fail || got.Status != c.status || got.RetryAfter != c.after || got.Reason != ReasonEvacuated {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/rollout/evacuation_test.go
@@ -0,0 +1,102 @@
+package rollout
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+)
+
+// TestVersionsReachEvacuatedReplicas: the zone comes back with weights that jobs allow, and what
+// serves goes first.
+func TestVersionsReachEvacuatedReplicas(t *testing.T) {
+	b := newBench(24)
+	for _, e := range b.endpoints[:8] {
+		e.Evacuated = true
+	}
+	b.run(time.Second)
+	for version := int64(2); version <= 5; version++ {
+		b.rollout.Name(port.VersionTarget{Model: "m", Version: version})
+		b.run(6 * time.Second)
+		serving := 0
+		for _, e := range b.endpoints[8:] {
+			if b.generators[e.ID].Version(b.now, "m") == version {
+				serving++
+			}
+		}
+		// Half of what serves has the newest, however many of the others do.
+		if serving < 8 {
+			t.Errorf("6 s after version %d, %d of 16 replicas that serve have it", version, serving)
+		}
+		for _, e := range b.endpoints {
+			if got := b.generators[e.ID].Version(b.now, "m"); got < version-1 {
+				t.Errorf("6 s after version %d, %s has %d", version, e.ID, got)
+			}
+		}
+	}
+}
+
+// TestServingReplicasLoadFirst: while both lack a version, the first orders are for what serves.
+func TestServingReplicasLoadFirst(t *testing.T) {
+	b := newBench(8)
+	for _, e := range b.endpoints[:4] {
+		e.Evacuated = true
+	}
+	b.run(time.Second)
+	b.rollout.Name(port.VersionTarget{Model: "m", Version: 4})
+	b.run(500 * time.Millisecond)
+	if len(b.sent) == 0 {
+		t.Fatal("no order was sent")
+	}
+	for _, order := range b.sent {
+		for _, e := range b.endpoints[:4] {
+			if order.Order.Replica == e.ID {
+				t.Errorf("%s is ordered to load while replicas that serve wait", e.ID)
+			}
+		}
+	}
+}
+
+// TestEvacuatedReplicasAreNoCapacity: the group of a model that lay in the zone is dealt anew among
+// the others; after a short evacuation all have the model that they had.
+func TestEvacuatedReplicasAreNoCapacity(t *testing.T) {
+	list := replicas(40, "a", "b")
+	targets := map[string]int64{"a": 2, "b": 2}
+	var g groups
+	for i, e := range list {
+		e.Versions["a"], e.Versions["b"] = 1, 1
+		if i < 20 {
+			e.Versions["a"] = 2
+		} else {
+			e.Versions["b"] = 2
+		}
+	}
+	g.assign(list, targets, nil)
+	before := maps.Clone(g.modelOf)
+	for _, e := range list[:16] {
+		e.Evacuated = true
+	}
+	serving, evacuated := withheldAs(list, endpoint.NotWithheld), withheldAs(list, endpoint.WithheldEvacuated)
+	g.assign(serving, targets, nil)
+	g.join(evacuated, targets, nil)
+	counts := map[string]int{}
+	for _, e := range serving {
+		counts[g.modelOf[e.ID]]++
+	}
+	if counts["a"] != 12 || counts["b"] != 12 {
+		t.Errorf("the replicas that serve are dealt %v", counts)
+	}
+	for _, e := range evacuated {
+		if g.modelOf[e.ID] != before[e.ID] {
+			t.Errorf("%s is moved from %s to %s while its zone is evacuated", e.ID, before[e.ID], g.modelOf[e.ID])
+		}
+	}
+	fresh := replicas(41, "a", "b")[40]
+	fresh.Evacuated = true
+	g.join(append(evacuated, fresh), targets, nil)
+	if g.modelOf[fresh.ID] == "" {
+		t.Error("a replica that is added to an evacuated zone follows no model")
+	}
+}
--- a/internal/version/scaling/scaling_test.go
+++ b/internal/version/scaling/scaling_test.go
@@ -237,3 +237,65 @@
 		t.Errorf("%d orders, should be one a zone", len(b.orders))
 	}
 }
+
+// TestEvacuatedZonesAreAbsent: the other zones get what the work takes, the zone itself nothing.
+func TestEvacuatedZonesAreAbsent(t *testing.T) {
+	b := newBench(6, 6, 6)
+	b.service.Items = 300
+	b.run(shrinkAfter)
+	if len(b.orders) != 0 {
+		t.Fatalf("%+v before the evacuation", b.orders)
+	}
+	evacuatedAt := b.now
+	b.service.Zones[0].Evacuated = true
+	b.run(time.Second)
+	if len(b.orders) != 2 {
+		t.Errorf("%d orders within a second of the evacuation", len(b.orders))
+	}
+	b.run(10*time.Second - b.now.Sub(evacuatedAt))
+	if got := b.replicas(); got[0] != 6 || got[1] != 9 || got[2] != 9 {
+		t.Errorf("%v replicas while a zone is evacuated", got)
+	}
+	b.service.Zones[0].Replicas = 1
+	b.run(2 * shrinkAfter)
+	for _, order := range b.orders {
+		if order.Zone == "a" {
+			t.Errorf("%+v for an evacuated zone", order)
+		}
+	}
+}
+
+// TestNothingIsGivenBackAtOnceAfterAReturn: the zone that comes back may be cold, so the other keeps
+// what it was given meanwhile for as long as replicas must have sufficed.
+func TestNothingIsGivenBackAtOnceAfterAReturn(t *testing.T) {
+	b := newBench(5, 5)
+	b.service.Items = 160
+	b.service.Zones[0].Evacuated = true
+	b.run(2 * shrinkAfter)
+	if got := b.replicas(); got[0] != 5 || got[1] != 10 {
+		t.Fatalf("%v replicas while a zone is evacuated", got)
+	}
+	b.orders = nil
+	b.service.Zones[0].Evacuated = false
+	b.run(shrinkAfter - time.Second)
+	if len(b.orders) != 0 {
+		t.Errorf("%+v right after the zone's return", b.orders)
+	}
+	b.run(20 * time.Second)
+	if got := b.replicas(); got[0] != 5 || got[1] != 5 {
+		t.Errorf("%v replicas long after the return", got)
+	}
+}
+
+// TestAllZonesEvacuated: nothing is ordered where nothing may be sent.
+func TestAllZonesEvacuated(t *testing.T) {
+	b := newBench(2, 2)
+	b.service.Items = 500
+	for i := range b.service.Zones {
+		b.service.Zones[i].Evacuated = true
+	}
+	b.run(10 * time.Second)
+	if len(b.orders) != 0 {
+		t.Errorf("%+v", b.orders)
+	}
+}
