--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -200,7 +200,7 @@
 		return
 	case ReplicaLink:
 		if r := s.replicaAt(victim); r != nil {
-			harm(r.link, f.Link)
+			s.links.harm(func() { harm(r.link, f.Link) })
 		}
 		return
 	case ReplicaFault:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,7 @@
 	// nanoseconds since started; faulty counts those under way.
 	disturbedAt atomic.Int64
 	faulty      atomic.Int32
+	links       linkHarm
 }
 
 // node is one process of the system with its links.
@@ -109,11 +110,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	s.startLoad(ctx, &load)
+	evacuated := s.startEvacuations(ctx)
 	faults := s.disturb(ctx)
+	faults["evacuations"] = evacuated()
 	s.heal()
 	healedAt := time.Now()
 	s.settle(ctx, healedAt)
 	s.drainEach()
+	s.evacuateInCalm()
 	s.check.CheckWhole(time.Now(), healedAt, settleFor)
 	cancel()
 	load.Wait()
@@ -198,7 +202,7 @@
 	s.mu.Unlock()
 	link := &Proxy{}
 	cfg := platformtest.ReplicaConfig{
-		ID: id, Service: service, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
+		ID: id, Service: service, Model: model, Zone: s.zoneFor(service), Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
 		Via: func(address string) string {
 			if link.Target != "" {
 				return link.listener.Addr().String()
@@ -246,13 +250,13 @@
 		return err
 	}
 	settings := fmt.Sprintf(`name: %s
-zone: zone-a
+zone: %s
 listen: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
+`, name, zones[len(s.nodes)%len(zones)], addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
