--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -26,7 +26,8 @@
 		x.refuseQuarantined(w, verdict.Left)
 		return false
 	case quarantine.OnTrial:
-		if !x.claimTrial() {
+		// A trial that no replica can have would be spent, and the next is minutes away.
+		if x.allEvacuated() || !x.claimTrial() {
 			x.refuseQuarantined(w, comeBack)
 			return false
 		}
@@ -42,6 +43,13 @@
 		"fingerprint", x.asked.Fingerprint.String(), "route", x.route.Name)
 }
 
+// allEvacuated reports whether all replicas that could serve the request lie in evacuated zones.
+func (x *exchange) allEvacuated() bool {
+	evacuated := false
+	x.agent.do(func(time.Time) { evacuated = x.agent.node.AllEvacuated(x.route) })
+	return evacuated
+}
+
 // claimTrial reports whether this request is the one by which it is found out whether it still
 // crashes replicas.
 func (x *exchange) claimTrial() bool {
