Cold replicas: windows in the store, token buckets for what nobody has heard yet

Cause: a cold replica got as much as any other, 23 to 26 requests in a second where 19 are allowed: it is the emptiest, so it draws a job's items, and nodes know nothing of one another. Change: records tell how long a replica is cold; it gets nothing while a warm one may be chosen. Where none is, requests are taken from its window, a row changed under a condition. Items pass a token bucket for each replica at all times. The simulator has replicas that turn cold, and a checker of each sliding second.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -58,6 +58,9 @@
 // errForeignAnswer says that an answer carried no or another request's id.
 var errForeignAnswer = errors.New("the answer belongs to another request")
 
+// errLate says that a call was not sent, as its time was over.
+var errLate = errors.New("it was too late to send the call")
+
 // Call is one attempt.
 type Call struct {
 	// Address is the replica's host:port.
@@ -70,6 +73,9 @@
 	ID string
 	// IDOf reads the id of an answer.
 	IDOf func(http.Header) string
+	// Late, unless nil, reports right before the first byte is written whether it is too late for the
+	// call: then it is not sent.
+	Late func() bool
 }
 
 // Client keeps connections to replicas.
@@ -109,6 +115,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if call.Late != nil && call.Late() {
+		_ = conn.Close()
+		return nil, &Error{Err: errLate}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer, err := c.exchange(conn, call)
 	if err != nil {
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -55,7 +55,11 @@
 	relay   *relay.Relay
 	exclude map[string]bool
 	// tried names the replicas with the load that was known of them.
-	tried    []string
+	tried []string
+	// sendBy is until when the attempt must be sent that was chosen last, zero for any time; comeBack
+	// is when a cold replica may be had, 0 if none was the reason that there is no replica.
+	sendBy   time.Time
+	comeBack time.Duration
 	attempts chan *attempt
 	launched int
 	started  time.Time
@@ -74,21 +78,33 @@
 
 func (x *exchange) choose() *endpoint.Endpoint {
 	var chosen *endpoint.Endpoint
+	quarantined := false
 	x.agent.do(func(now time.Time) {
-		if x.quarantined(now) {
+		quarantined = x.quarantined(now)
+		if quarantined {
 			return
 		}
 		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
-		if chosen != nil {
-			chosen.InFlight++
-			chosen.UsedAt = now
-			x.exclude[chosen.ID] = true
-			x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
-		}
+		x.noteChosen(now, chosen)
 	})
+	if chosen == nil && !quarantined {
+		return x.chooseCold()
+	}
 	return chosen
 }
 
+// noteChosen notes the replica that the next attempt goes to, if there is one.
+func (x *exchange) noteChosen(now time.Time, chosen *endpoint.Endpoint) {
+	if chosen == nil {
+		return
+	}
+	chosen.InFlight++
+	chosen.UsedAt = now
+	x.sendBy = chosen.SendBy
+	x.exclude[chosen.ID] = true
+	x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
+}
+
 // wait returns the attempt that ended, or nil at the time given.
 func (x *exchange) wait(ctx context.Context, until time.Time) *attempt {
 	timer := time.NewTimer(time.Until(until))
@@ -115,9 +131,9 @@
 }
 
 // try sends the request to a replica and reads the whole answer.
-func (x *exchange) try(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
+func (x *exchange) try(ctx context.Context, chosen *endpoint.Endpoint, call *upstream.Call) *attempt {
 	startedAt := x.agent.clock.Now()
-	ended := x.send(ctx, chosen, left)
+	ended := x.send(ctx, chosen, call)
 	ended.crashed = x.agent.crashed(ctx, ended.endpoint.Address, ended.outcome)
 	x.agent.metrics.attempt(ended.outcome)
 	x.agent.do(func(now time.Time) {
@@ -159,8 +175,8 @@
 	}
 }
 
-func (x *exchange) send(ctx context.Context, chosen *endpoint.Endpoint, left time.Duration) *attempt {
-	ended := x.agent.exchangeWhole(ctx, x.call(chosen, left))
+func (x *exchange) send(ctx context.Context, chosen *endpoint.Endpoint, call *upstream.Call) *attempt {
+	ended := x.agent.exchangeWhole(ctx, call)
 	ended.endpoint = chosen
 	return ended
 }
@@ -188,7 +204,7 @@
 	x.agent.protocol.Address(header, chosen.ID, left)
 	return &upstream.Call{
 		Address: chosen.Address, Method: x.request.Method, Target: target(x.request), Host: x.request.Host,
-		Header: header, Body: x.body, ID: x.id, IDOf: x.agent.protocol.RequestID,
+		Header: header, Body: x.body, ID: x.id, IDOf: x.agent.protocol.RequestID, Late: x.agent.lateAfter(x.sendBy),
 	}
 }
 
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -39,6 +39,7 @@
 			x.deliver(w, last)
 			return
 		case relay.Fail:
+			decision = x.coldRefusal(decision)
 			a.refuse(w, x.id, decision.Status, decision.RetryAfter, decision.Reason, "attempts", x.launched, "attempts_allowed", x.route.MaxAttempts,
 				"replicas", strings.Join(x.tried, " "), "held_ms", x.agent.since(x.started).Milliseconds(), "route", x.route.Name)
 			return
@@ -55,8 +56,8 @@
 	}
 	x.relay.Launched(now)
 	x.launched++
-	left := x.relay.Left(now)
-	go func() { x.attempts <- x.try(ctx, chosen, left) }()
+	call := x.call(chosen, x.relay.Left(now))
+	go func() { x.attempts <- x.try(ctx, chosen, call) }()
 }
 
 // deliver passes a replica's whole answer on.
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -113,6 +113,7 @@
 	gauge("doorstep_requests_quarantined", "Requests that are kept from replicas, as they crash those that run them.", func() float64 {
 		return float64(a.node.Quarantine().Figures().Held)
 	})
+	m.registerCold(a, gauge)
 	counts := func(name, help string, value func(counts batch.Counts) int) {
 		gauge(name, help, func() float64 { return float64(value(a.node.Jobs().Counts())) })
 	}
@@ -142,7 +143,7 @@
 // caller's input would make a label for each.
 var refusalReasons = []string{
 	reasonNoConfiguration, reasonNoRoute, reasonLargeHead, reasonNoID, reasonLargeBody, reasonCutBody, reasonNoJob, reasonStoreSilent,
-	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, relay.ReasonDeadline, relay.ReasonNoAttempt,
+	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, reasonCold, relay.ReasonDeadline, relay.ReasonNoAttempt,
 }
 
 var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached", relay.Refused: "refused"}
@@ -193,3 +194,19 @@
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
+
+// registerCold registers the figures of cold replicas.
+func (m *metrics) registerCold(a *Agent, gauge func(name, help string, value func() float64)) {
+	gauge("doorstep_replicas_cold", "Replicas that are cold by their records.", func() float64 { return float64(a.node.Cold().Replicas) })
+	counter := func(name, help string, value func(figures cluster.ColdFigures) int) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return float64(value(a.node.Cold()))
+		}))
+	}
+	counter("doorstep_cold_claims_granted_total", "Claims of requests to cold replicas that were granted.", func(f cluster.ColdFigures) int { return f.Granted })
+	counter("doorstep_cold_claims_denied_total", "Wishes for requests to cold replicas that were not granted.", func(f cluster.ColdFigures) int { return f.Denied })
+	counter("doorstep_cold_requests_total", "Requests sent to cold replicas.", func(f cluster.ColdFigures) int { return f.Sent })
+	counter("doorstep_replica_buckets_empty_total", "Times that a replica was passed over, as its token bucket was empty.", func(f cluster.ColdFigures) int { return f.Held })
+}
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -64,6 +64,7 @@
 // off, so that it doesn't look complete.
 func (s *relayedStream) fail(decision relay.Decision) {
 	if !s.begun {
+		decision = s.coldRefusal(decision)
 		s.agent.refuse(s.writer, s.id, decision.Status, decision.RetryAfter, decision.Reason)
 		return
 	}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -9,6 +9,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -76,6 +77,7 @@
 	jobs      *batch.Jobs
 	// quarantine knows the requests that crash replicas.
 	quarantine *quarantine.Quarantine
+	cold       coldReplicas
 	// leases holds all leases by their keys, lease is that of the version orders.
 	leases  map[string]*recordlease.Lease
 	lease   *recordlease.Lease
@@ -106,6 +108,7 @@
 	n.splitter = routes.NewSplitter(n.random.Float64())
 	n.rotation = n.random.Uint64()
 	n.quarantine = quarantine.New(quarantine.Options{Self: options.Name, Queue: n.queue, StoreClock: n.StoreClock})
+	n.cold = n.newColdReplicas()
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
 		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
@@ -185,6 +188,7 @@
 		watch.Tick(now)
 	}
 	n.tickLapses(now)
+	n.tickCold(now)
 	n.lease.Tick(now)
 	n.rollout.Tick(now)
 	n.jobs.Tick(now)
@@ -193,6 +197,7 @@
 		// One node is enough, and two at once would do no harm.
 		n.jobs.Collect(now)
 		n.quarantine.Collect(now)
+		n.collectCold(now)
 	}
 	n.tickDuties(now)
 	n.tickStatus(now)
@@ -258,6 +263,7 @@
 		return
 	}
 	n.routes = routes.New(table)
+	n.cold.bounded = slices.ContainsFunc(table.Services, func(service port.Service) bool { return service.Cold != nil })
 	n.queue.Log(event.RoutesApplied, "version", table.Version, "routes", len(table.Routes), "services", len(table.Services),
 		"since_start_ms", now.Sub(n.startedAt).Milliseconds())
 }
--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -50,15 +50,16 @@
 		}
 		return
 	}
-	n.noteReplica(n.endpoints.Remove(id))
+	n.noteReplica(now, n.endpoints.Remove(id))
 }
 
 // putReplica notes that a replica's record stands again.
-func (n *Node) putReplica(put endpoint.Change) {
+func (n *Node) putReplica(now time.Time, put endpoint.Change) {
 	delete(n.lapses.kept, put.Endpoint.ID)
 	put.Endpoint.Held = n.holds(put.Endpoint)
 	put.Endpoint.Region = n.options.Topology.RegionOf(put.Endpoint.Zone)
-	n.noteReplica(put)
+	n.noteReplica(now, put)
+	n.noteCold(now, put)
 }
 
 // tickLapses drops the replicas whose records did not come back.
@@ -68,7 +69,7 @@
 	}
 	for _, e := range n.endpoints.All() {
 		if n.lapses.kept[e.ID] {
-			n.noteReplica(n.endpoints.Remove(e.ID))
+			n.noteReplica(now, n.endpoints.Remove(e.ID))
 		}
 	}
 	clear(n.lapses.kept)
--- a/internal/process/cluster/lapse_test.go
+++ b/internal/process/cluster/lapse_test.go
@@ -32,7 +32,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			n := newNode()
 			record := port.ReplicaRecord{ID: "r", Service: "s"}
-			n.putReplica(n.endpoints.Put(record))
+			n.putReplica(start, n.endpoints.Put(record))
 			n.onReplicaHealth(start, true)
 			if c.away {
 				n.onReplicaHealth(start, false)
@@ -42,7 +42,7 @@
 			}
 			n.removeReplica(start.Add(c.goes), "r")
 			if c.listed {
-				n.putReplica(n.endpoints.Put(record))
+				n.putReplica(start, n.endpoints.Put(record))
 			}
 			n.tickLapses(start.Add(c.at))
 			if kept := n.endpoints.Find("r") != nil; kept != c.kept {
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -29,10 +29,14 @@
 	query.Room = rolloutRoom
 	query.Exclude = excluded(wanted)
 	query.BestPace = n.bestPace(now, wanted.Route)
+	profile := &endpoint.Rollouts
 	if wanted.Long {
-		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
+		profile = &endpoint.LongRollouts
 	}
-	return n.pick(&endpoint.Rollouts, query, wanted.Route)
+	if wanted.Look {
+		return n.pick(profile, query, wanted.Route)
+	}
+	return n.send(now, n.pickOrClaim(profile, query, wanted.Route), true)
 }
 
 // excluded returns the endpoints that an item must not go to.
@@ -62,7 +66,7 @@
 	query := n.query(now)
 	query.Exclude = exclude
 	query.Model = model
-	return n.pick(&endpoint.Requests, query, route)
+	return n.send(now, n.pickOrClaim(&endpoint.Requests, query, route), false)
 }
 
 // placeScoring chooses an endpoint for an item's scoring call that has been to those
@@ -71,7 +75,7 @@
 	query := n.query(now)
 	query.Exclude = exclude
 	query.Room = scoringRoom
-	return n.pick(&endpoint.ScoringCalls, query, route)
+	return n.send(now, n.pickOrClaim(&endpoint.ScoringCalls, query, route), true)
 }
 
 func (n *Node) query(now time.Time) *endpoint.Query {
@@ -79,9 +83,20 @@
 	return &endpoint.Query{Now: now, Zone: n.options.Topology.Zone, Rotation: n.rotation}
 }
 
-// pick chooses an endpoint of the route's services. One that was ejected is better than
-// none, but worse than to wait for room at another: it fails at once, so it always has room.
+// pick chooses a warm endpoint of the route's services.
 func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	return n.pickElse(profile, query, route, func([]string) (*endpoint.Endpoint, bool) { return nil, false })
+}
+
+// pickOrClaim chooses an endpoint of the route's services, a cold one only where no warm one is left.
+func (n *Node) pickOrClaim(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	return n.pickElse(profile, query, route, func(order []string) (*endpoint.Endpoint, bool) { return n.pickCold(profile, *query, order) })
+}
+
+// pickElse chooses a warm endpoint, else a cold one if it may be had later at least. One that was
+// ejected is better than none, but worse than to wait for room at another: it fails at once, so it
+// always has room.
+func (n *Node) pickElse(profile *endpoint.Profile, query *endpoint.Query, route *port.Route, cold func(order []string) (*endpoint.Endpoint, bool)) *endpoint.Endpoint {
 	order := n.splitter.Order(route)
 	if chosen := n.pickInOrder(profile, query, order); chosen != nil {
 		return chosen
@@ -89,6 +104,9 @@
 	if query.Room > 0 && n.roomLater(profile, *query, order) {
 		return nil
 	}
+	if chosen, later := cold(order); chosen != nil || later {
+		return chosen
+	}
 	query.AllowEjected = true
 	return n.pickInOrder(profile, query, order)
 }
@@ -96,6 +114,7 @@
 // pickInOrder tries services in the order of the splitter.
 func (n *Node) pickInOrder(profile *endpoint.Profile, query *endpoint.Query, order []string) *endpoint.Endpoint {
 	for _, service := range order {
+		n.guard(query, service)
 		if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
 			return chosen
 		}
@@ -105,7 +124,7 @@
 
 // roomLater reports whether there is an endpoint that lacks nothing but room.
 func (n *Node) roomLater(profile *endpoint.Profile, query endpoint.Query, order []string) bool {
-	query.Room = math.Inf(1)
+	query.Room, query.Unguarded = math.Inf(1), true
 	return n.pickInOrder(profile, &query, order) != nil
 }
 
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -106,7 +106,7 @@
 	listed := map[string]bool{}
 	for _, record := range change.Replicas {
 		listed[record.ID] = true
-		n.putReplica(n.endpoints.Put(record))
+		n.putReplica(now, n.endpoints.Put(record))
 	}
 	for _, id := range change.Gone {
 		n.removeReplica(now, id)
@@ -127,7 +127,7 @@
 	return table == tables[len(tables)-1]
 }
 
-func (n *Node) noteReplica(change endpoint.Change) {
+func (n *Node) noteReplica(now time.Time, change endpoint.Change) {
 	if change.Endpoint == nil {
 		return
 	}
@@ -139,6 +139,7 @@
 	case change.Removed:
 		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
 		n.queue.Add(task.Forget{Address: one.Address})
+		n.forgetCold(now, one.ID)
 	case change.Leaving:
 		n.queue.Log(event.ReplicaLeaving, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
 	}
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -44,6 +44,14 @@
 	Region string
 	// Held is set while an operator drains the endpoint or its zone.
 	Held bool
+	// EvacuatedUntil is when its zone's evacuation was seen to be lifted, zero if that was never so: it
+	// may have turned cold without a restart.
+	EvacuatedUntil time.Time
+	// ColdUntil is when the endpoint is warm by its records, never too early.
+	ColdUntil time.Time
+	// SendBy is until when the request must be sent that the endpoint was chosen for last, zero for
+	// any time.
+	SendBy time.Time
 
 	told         int
 	toldAt       time.Time
@@ -55,6 +63,8 @@
 	pace         time.Duration
 	pacedAt      time.Time
 	heardAt      time.Time
+	coldRevision int64
+	coldHeardAt  time.Time
 }
 
 // Load returns the requests that are known to be at the endpoint: this node's own,
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -1,9 +1,6 @@
 package endpoint
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Query says what a request needs of an endpoint.
 type Query struct {
@@ -27,6 +24,14 @@
 	BestPace time.Duration
 	// AllowEjected also takes endpoints that failed lately.
 	AllowEjected bool
+	// ColdLasts is how long a replica is cold after its start, 0 where it bears all at once; OnlyCold
+	// takes cold endpoints alone, and without it none is taken.
+	ColdLasts time.Duration
+	OnlyCold  bool
+	// Permit, unless nil, reports whether the node may send to an endpoint at present.
+	Permit func(e *Endpoint) bool
+	// Unguarded asks for endpoints that the node may send to later as well.
+	Unguarded bool
 	// Rotation breaks ties; it differs from choice to choice.
 	Rotation uint64
 }
@@ -55,11 +60,11 @@
 // they leave room for these.
 var (
 	Requests = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, Warmth, Permitted},
 		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 2}, {SameZone, 1}},
 	}
 	Rollouts = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom, Warmth, Permitted},
 		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {FreeSlot, 3}, {FreeMemory, 4}, {SameZone, 0.5}},
 	}
 	LongRollouts = Profile{
@@ -67,7 +72,7 @@
 		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {FreeMemory, 6}, {SameZone, 0.1}},
 	}
 	ScoringCalls = Profile{
-		filters: append(slices.Clone(Requests.filters), HasRoom),
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, HasRoom, Warmth, Permitted},
 		scorers: Requests.scorers,
 	}
 )
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -42,6 +42,8 @@
 	Tenant string
 	// Limit is the time granted to the replica.
 	Limit time.Duration
+	// SendBy is until when it must be sent, or not at all; zero for any time.
+	SendBy time.Time
 	// Waited is how long the item had waited for a replica.
 	Waited time.Duration
 	// Urgent asks the replica to admit the run before others.
@@ -111,7 +113,9 @@
 	Tenant string
 	// Limit is the time granted to the attempt.
 	Limit time.Duration
-	Done  func(now time.Time, result ScoringResult)
+	// SendBy is as for a Run.
+	SendBy time.Time
+	Done   func(now time.Time, result ScoringResult)
 }
 
 // ScoringResult is the end of an attempt of a scoring call.
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -45,6 +45,9 @@
 	{"scorer-fails", "a replica that scores answers half of its calls with a failure", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().failing) }},
 	{"scorer-loses", "a replica that scores loses half of its answers", 10 * time.Second, 4 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().losing) }},
 	{"scorer-slow", "a replica that scores takes twenty times as long", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyScorer().slow) }},
+	{"replica-cold", "a replica turns cold without a restart", 6 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyReplica().turnCold() }},
+	{"zone-cold-return", "all replicas of a zone turn cold at the same moment", 12 * time.Second, time.Second, coldZone},
+	{"all-cold", "all replicas turn cold at the same moment", 20 * time.Second, time.Second, allCold},
 	{"scorer-drains", "a replica that scores announces that it leaves, and goes", 12 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyScorer().drain() }},
 }
 
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -41,6 +41,7 @@
 	slow           int
 	drainedAt      time.Time
 	runs           []*run
+	cold           coldState
 }
 
 func (w *World) addReplica(address string) *replica {
@@ -58,6 +59,7 @@
 		world:     w, address: address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%3), up: true,
 	}
 	w.replicas = append(w.replicas, r)
+	r.turnCold()
 	r.list()
 	w.Every(beatEvery, func() bool {
 		if r.up {
@@ -73,7 +75,7 @@
 	report := r.Report(r.world.Now)
 	value, err := json.Marshal(port.ReplicaRecord{
 		ID: r.ID, Service: generatorName, Address: r.address, Zone: r.zone, Slots: r.Slots,
-		Draining: !r.drainedAt.IsZero(), Versions: report.Versions,
+		Draining: !r.drainedAt.IsZero(), Versions: report.Versions, ColdFor: max(r.cold.until.Sub(r.world.Now), 0),
 	})
 	if err != nil {
 		panic("a replica must encode: " + err.Error())
@@ -139,10 +141,15 @@
 	n.runs[t.ID] = one
 	w.After(callLatency, func() {
 		r := one.replica
-		switch {
-		case one.ended:
-		case r == nil || r.ID != t.Replica:
+		if one.ended {
+			return
+		}
+		if r == nil || r.ID != t.Replica {
 			one.end(task.RunRefused)
+			return
+		}
+		w.check.arrivedCold(w, r)
+		switch {
 		case r.dark > 0:
 			w.After(t.FirstWithin, func() { one.end(task.RunSilent) })
 		default:
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -191,7 +191,7 @@
 	life := n.life
 	n.node = cluster.New(n.world.Now, cluster.Options{
 		Name: n.name, Topology: topologyAt(n.zone), Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
-		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(),
+		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(), Cold: coldSettings,
 	})
 	n.world.Every(tickEvery, func() bool {
 		if n.life != life || !n.up {
@@ -346,6 +346,7 @@
 			if err := json.Unmarshal(record.Value, &one); err != nil {
 				return change, err
 			}
+			one.Revision = record.Revision
 			change.Replicas = append(change.Replicas, one)
 		case strings.HasPrefix(record.Key, evacuationPrefix):
 			change.Evacuations = append(change.Evacuations, port.Evacuation{Zone: strings.TrimPrefix(record.Key, evacuationPrefix), Lifted: record.Deleted})
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -68,6 +68,8 @@
 	Long bool
 	// Tokens is the memory that the item is expected to take at its replica.
 	Tokens int
+	// Look asks where the item would go; nothing is sent there.
+	Look bool
 }
 
 // Options configure Jobs.
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -40,3 +42,27 @@
 	}
 	return outstanding
 }
+
+// Owner is a node that runs the items of an open job, of weights not older than MinVersion.
+type Owner struct {
+	Name, Job, Model string
+	MinVersion       int64
+}
+
+// Owners returns the owners of all open jobs, an empty name where a job has none, in the order of their
+// names.
+func (j *Jobs) Owners() []Owner {
+	var owners []Owner
+	for id, known := range j.heads {
+		if !known.Ended && !known.complete() {
+			owners = append(owners, Owner{Name: known.Owner, Job: id, Model: known.Model, MinVersion: known.MinVersion})
+		}
+	}
+	slices.SortFunc(owners, CompareOwners)
+	return owners
+}
+
+// CompareOwners orders owners by their names first.
+func CompareOwners(a, b Owner) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Job, b.Job))
+}
