--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -185,27 +185,26 @@
 	}
 }
 
-// send notes that a request is sent to the endpoint that was chosen for it, if one was.
-func (n *Node) send(now time.Time, chosen *endpoint.Endpoint, items bool) *endpoint.Endpoint {
-	if chosen == nil {
-		return nil
-	}
+// noteSend notes that a request is sent to the endpoint that was chosen for it.
+func (n *Node) noteSend(now time.Time, chosen *endpoint.Endpoint, items bool) {
 	chosen.SendBy = time.Time{}
 	bound, ok := n.coldBound(chosen.Service)
 	if !ok {
-		return chosen
+		return
 	}
 	cold := chosen.Cold(now, bound.Lasts)
 	if cold {
 		chosen.SendBy = n.cold.gate.SendBy(now, chosen.ID)
 	}
 	n.cold.gate.Sent(now, chosen.ID, chosen.Service, bound, n.sender(now, chosen, items), cold)
-	return chosen
 }
 
 // pickCold chooses a cold endpoint to which this node may send. Without one, an item has requests to
 // some of them claimed, for its next try; later reports whether one may be had then.
 func (n *Node) pickCold(profile *endpoint.Profile, query endpoint.Query, order []string) (chosen *endpoint.Endpoint, later bool) {
+	if query.Look {
+		return nil, false
+	}
 	query.OnlyCold = true
 	for _, service := range order {
 		bound, ok := n.coldBound(service)
@@ -293,7 +292,8 @@
 		case !wanted() || chosen.Leaving():
 			done(now, nil, 0)
 		default:
-			done(now, n.send(now, chosen, false), 0)
+			n.noteSend(now, chosen, false)
+			done(now, chosen, 0)
 		}
 	})
 }
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -24,19 +24,16 @@
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
 	query := n.query(now)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
+	query.Look = wanted.Look
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
 	query.Room = rolloutRoom
 	query.Exclude = excluded(wanted)
 	query.BestPace = n.bestPace(now, wanted.Route)
-	profile := &endpoint.Rollouts
 	if wanted.Long {
-		profile = &endpoint.LongRollouts
+		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
 	}
-	if wanted.Look {
-		return n.pick(profile, query, wanted.Route)
-	}
-	return n.send(now, n.pickOrClaim(profile, query, wanted.Route), true)
+	return n.pick(&endpoint.Rollouts, query, wanted.Route)
 }
 
 // excluded returns the endpoints that an item must not go to.
@@ -66,7 +63,7 @@
 	query := n.query(now)
 	query.Exclude = exclude
 	query.Model = model
-	return n.send(now, n.pickOrClaim(&endpoint.Requests, query, route), false)
+	return n.pick(&endpoint.Requests, query, route)
 }
 
 // placeScoring chooses an endpoint for an item's scoring call that has been to those
@@ -75,7 +72,7 @@
 	query := n.query(now)
 	query.Exclude = exclude
 	query.Room = scoringRoom
-	return n.send(now, n.pickOrClaim(&endpoint.ScoringCalls, query, route), true)
+	return n.pick(&endpoint.ScoringCalls, query, route)
 }
 
 func (n *Node) query(now time.Time) *endpoint.Query {
@@ -83,20 +80,19 @@
 	return &endpoint.Query{Now: now, Zone: n.options.Topology.Zone, Rotation: n.rotation}
 }
 
-// pick chooses a warm endpoint of the route's services.
+// pick chooses an endpoint of the route's services, to which a request is sent right then.
 func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
-	return n.pickElse(profile, query, route, func([]string) (*endpoint.Endpoint, bool) { return nil, false })
-}
-
-// pickOrClaim chooses an endpoint of the route's services, a cold one only where no warm one is left.
-func (n *Node) pickOrClaim(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
-	return n.pickElse(profile, query, route, func(order []string) (*endpoint.Endpoint, bool) { return n.pickCold(profile, *query, order) })
+	chosen := n.choose(profile, query, route)
+	if chosen != nil && !query.Look {
+		n.noteSend(query.Now, chosen, query.Room > 0)
+	}
+	return chosen
 }
 
-// pickElse chooses a warm endpoint, else a cold one if it may be had later at least. One that was
-// ejected is better than none, but worse than to wait for room at another: it fails at once, so it
-// always has room.
-func (n *Node) pickElse(profile *endpoint.Profile, query *endpoint.Query, route *port.Route, cold func(order []string) (*endpoint.Endpoint, bool)) *endpoint.Endpoint {
+// choose prefers a warm endpoint to a cold one, even if it has to be waited for. One that was ejected
+// is better than none, but worse than to wait for room at another: it fails at once, so it always has
+// room.
+func (n *Node) choose(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
 	order := n.splitter.Order(route)
 	if chosen := n.pickInOrder(profile, query, order); chosen != nil {
 		return chosen
@@ -104,7 +100,7 @@
 	if query.Room > 0 && n.roomLater(profile, *query, order) {
 		return nil
 	}
-	if chosen, later := cold(order); chosen != nil || later {
+	if chosen, later := n.pickCold(profile, *query, order); chosen != nil || later {
 		return chosen
 	}
 	query.AllowEjected = true
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Query says what a request needs of an endpoint.
 type Query struct {
@@ -28,10 +31,10 @@
 	// takes cold endpoints alone, and without it none is taken.
 	ColdLasts time.Duration
 	OnlyCold  bool
-	// Permit, unless nil, reports whether the node may send to an endpoint at present.
-	Permit func(e *Endpoint) bool
-	// Unguarded asks for endpoints that the node may send to later as well.
-	Unguarded bool
+	// Permit, unless nil, reports whether the node may send to an endpoint at present. Unguarded asks
+	// for endpoints as well that it may send to later; Look says that nothing is sent.
+	Permit          func(e *Endpoint) bool
+	Unguarded, Look bool
 	// Rotation breaks ties; it differs from choice to choice.
 	Rotation uint64
 }
@@ -60,11 +63,11 @@
 // they leave room for these.
 var (
 	Requests = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, Warmth, Permitted},
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
 		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 2}, {SameZone, 1}},
 	}
 	Rollouts = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom, Warmth, Permitted},
+		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
 		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {FreeSlot, 3}, {FreeMemory, 4}, {SameZone, 0.5}},
 	}
 	LongRollouts = Profile{
@@ -72,7 +75,7 @@
 		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {FreeMemory, 6}, {SameZone, 0.1}},
 	}
 	ScoringCalls = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, HasRoom, Warmth, Permitted},
+		filters: append(slices.Clone(Requests.filters), HasRoom),
 		scorers: Requests.scorers,
 	}
 )
@@ -225,7 +228,8 @@
 			return false
 		}
 	}
-	return true
+	// What cold replicas bear bounds all that is sent.
+	return Warmth(q, candidate) && Permitted(q, candidate)
 }
 
 func (p *Profile) sum(q *Query, candidate *Endpoint) float64 {
