--- /dev/null
+++ b/internal/process/cluster/cold_test.go
@@ -0,0 +1,237 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
+	"github.com/doorstep/doorstep/internal/process/settings"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/simulation/virtual"
+	"github.com/doorstep/doorstep/internal/standin/model"
+	"github.com/doorstep/doorstep/internal/version/batch"
+)
+
+const (
+	// coldLasts, coldPerSecond and coldMost are what cold replicas of these tests bear.
+	coldLasts     = 6 * time.Second
+	coldPerSecond = 9.3
+	coldMost      = 18
+	// storeTakes is how long a call to the store takes.
+	storeTakes = 8 * time.Millisecond
+)
+
+func coldRoute(kind port.RouteKind) *port.Route {
+	return &port.Route{Name: "r", Kind: kind, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+}
+
+// coldNode is a node that owns a job, with a store, and replicas that count what they get.
+type coldNode struct {
+	virtual.Clock
+	*Node
+	store *model.Records
+	sent  map[string][]time.Time
+	// cold holds until when a replica is cold in truth.
+	cold map[string]time.Time
+	most int
+}
+
+func newColdNode() *coldNode {
+	c := &coldNode{Clock: virtual.Clock{Now: start}, sent: map[string][]time.Time{}, cold: map[string]time.Time{}}
+	c.store = model.NewRecords(start, model.RecordsOptions{WritesPerSecond: 1500, ReadsPerSecond: 6000, History: 20 * time.Second})
+	c.Node = New(start, Options{
+		Name: "n", Topology: port.Topology{Zone: "z"}, Incarnation: 1, Decoder: coldDecoder{}, OrderPause: time.Second,
+		Cold: settings.Cold{Overshoot: 1.5, Slack: 5},
+	})
+	service := port.Service{Name: "s", Models: []string{"m"}, Cold: &port.ColdStart{Lasts: coldLasts, PerSecond: coldPerSecond}}
+	c.put("operator", "routes", &port.RouteTable{Version: 1, Routes: []port.Route{*coldRoute(port.RouteBatch)}, Services: []port.Service{service}})
+	c.Every(25*time.Millisecond, func() bool {
+		c.do(c.Tick)
+		return true
+	})
+	return c
+}
+
+// do calls the node and carries its calls to the store out.
+func (c *coldNode) do(call func(now time.Time)) {
+	call(c.Now)
+	for _, one := range c.Take() {
+		sentAt := c.Now
+		answer := func(done func(now time.Time, result port.RecordResult), make func() port.RecordResult) {
+			c.After(storeTakes/2, func() {
+				result := make()
+				c.After(storeTakes/2, func() {
+					c.NoteClock(c.Now, sentAt, result.Clock)
+					c.do(func(now time.Time) { done(now, result) })
+				})
+			})
+		}
+		switch t := one.(type) {
+		case task.Commit:
+			answer(t.Done, func() port.RecordResult { return c.store.Commit(c.Now, t.Transaction) })
+		case task.Range:
+			answer(t.Done, func() port.RecordResult { return c.store.Range(c.Now, t.Query) })
+		case task.Watch:
+			c.watch(t, c.Now.Add(t.Wait))
+		case task.Later:
+			c.After(t.After, func() { c.do(t.Do) })
+		}
+	}
+}
+
+// watch answers a watch as soon as its table changed.
+func (c *coldNode) watch(t task.Watch, until time.Time) {
+	result, _ := c.store.Changes(c.Now, t.Table, t.After)
+	if result.Status == port.RecordDone && len(result.Records) == 0 && c.Now.Before(until) {
+		c.After(10*time.Millisecond, func() { c.watch(t, until) })
+		return
+	}
+	c.After(storeTakes, func() { c.do(func(now time.Time) { t.Done(now, result) }) })
+}
+
+func (c *coldNode) run(length time.Duration) {
+	for end := c.Now.Add(length); c.Now.Before(end) && c.Step(); {
+	}
+}
+
+// put writes a record of the deployment.
+func (c *coldNode) put(table, key string, content any) {
+	value, err := json.Marshal(content)
+	if err != nil {
+		panic(err)
+	}
+	c.store.Commit(c.Now, port.RecordTransaction{Puts: []port.Record{{RecordKey: port.RecordKey{Table: table, Key: key}, Value: value}}})
+}
+
+// list writes a replica's record, by which it is cold for so long.
+func (c *coldNode) list(id string, coldFor time.Duration) {
+	c.put("replicas", id, port.ReplicaRecord{ID: id, Service: "s", Zone: "z", Slots: 8, Versions: map[string]int64{"m": 1}, ColdFor: coldFor})
+}
+
+// own has the node own a job of one item, and read all tables.
+func (c *coldNode) own() {
+	c.do(c.Tick)
+	c.run(time.Second)
+	c.do(func(now time.Time) {
+		c.jobs.Accept(now, &doorstepv1.BatchJob{Id: "j", Model: "m", MinVersion: 1, Host: "h", Path: "/", Items: []*doorstepv1.BatchItem{{Id: "i"}}}, func(time.Time, batch.Outcome) {})
+	})
+	c.run(2 * time.Second)
+}
+
+// coldDecoder reads routes and replicas.
+type coldDecoder struct{ decoder }
+
+func (coldDecoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+	var change port.Deployment
+	for _, record := range records {
+		if record.Table == "operator" {
+			change.Routes = &port.RouteTable{}
+			if err := json.Unmarshal(record.Value, change.Routes); err != nil {
+				return change, err
+			}
+			continue
+		}
+		one := port.ReplicaRecord{}
+		if err := json.Unmarshal(record.Value, &one); err != nil {
+			return change, err
+		}
+		one.Revision = record.Revision
+		change.Replicas = append(change.Replicas, one)
+	}
+	return change, nil
+}
+
+// arrive counts a request at a replica, as its platform does.
+func (c *coldNode) arrive(chosen *endpoint.Endpoint) {
+	id := chosen.ID
+	if !c.Now.Before(c.cold[id]) {
+		c.sent[id] = nil
+		return
+	}
+	c.sent[id] = slices.DeleteFunc(append(c.sent[id], c.Now), func(at time.Time) bool { return c.Now.Sub(at) > time.Second })
+	c.most = max(c.most, len(c.sent[id]))
+}
+
+// burst places items, as an owner does at each tick, and returns how long the last and the middle one
+// waited. Each runs for 300 ms.
+func (c *coldNode) burst(items int) (last, middle time.Duration) {
+	began := c.Now.Add(25 * time.Millisecond)
+	var waits []time.Duration
+	c.Every(25*time.Millisecond, func() bool {
+		c.do(func(now time.Time) {
+			for len(waits) < items {
+				chosen := c.place(now, batch.Placement{Route: coldRoute(port.RouteBatch), Model: "m", MinVersion: 1})
+				if chosen == nil {
+					return
+				}
+				waits = append(waits, now.Sub(began))
+				chosen.InFlight++
+				c.arrive(chosen)
+				c.After(300*time.Millisecond, func() { chosen.InFlight-- })
+			}
+		})
+		return len(waits) < items
+	})
+	for len(waits) < items && c.Now.Sub(began) < time.Minute && c.Step() {
+	}
+	return waits[len(waits)-1], waits[len(waits)/2]
+}
+
+// TestAZoneTurnsColdAtFullLoad: two jobs of 224 items, one after the other, meet 16 of 48 replicas cold, or
+// nothing but these. With the gate taken out 10 items within a second reach replicas that are known to be
+// cold, and 28 where there are no others.
+func TestAZoneTurnsColdAtFullLoad(t *testing.T) {
+	const items = 224
+	for _, c := range []struct {
+		name     string
+		replicas int
+		// told is when the records say so after the replicas turned cold.
+		told time.Duration
+		// fresh replicas have new IDs.
+		fresh bool
+		// last bounds the wait of the first job's last item, most what a cold replica may get.
+		last time.Duration
+		most int
+	}{
+		{"a zone of three, told before", 48, 0, false, 0, 0},
+		{"a zone of three, told late", 48, 1200 * time.Millisecond, false, 0, coldMost},
+		{"the one zone there is, just started", 16, 0, true, 2 * time.Second, coldMost},
+		{"the one zone there is, told late", 16, 1200 * time.Millisecond, false, 3 * time.Second, coldMost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newColdNode()
+			if !c.fresh {
+				for i := range c.replicas {
+					n.list(fmt.Sprint("r", i), 0)
+				}
+			}
+			n.own()
+			for i := range 16 {
+				n.cold[fmt.Sprint("r", i)] = n.Now.Add(coldLasts)
+				tell := func() { n.list(fmt.Sprint("r", i), n.cold[fmt.Sprint("r", i)].Sub(n.Now)) }
+				if c.told == 0 {
+					tell()
+				} else {
+					n.After(c.told, tell)
+				}
+			}
+			if c.told == 0 {
+				n.run(200 * time.Millisecond)
+			}
+			last, middle := n.burst(items)
+			n.burst(items)
+			if n.most > c.most {
+				t.Errorf("a cold replica got %d requests within a second, %d are allowed", n.most, c.most)
+			}
+			if last > c.last {
+				t.Errorf("the last item waited %s, should be %s at the most", last, c.last)
+			}
+			t.Logf("at the most %d requests within a second; the middle item waited %s, the last %s", n.most, middle, last)
+		})
+	}
+}
