--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -15,6 +15,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/coldstart"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
 	"github.com/doorstep/doorstep/internal/version/batch"
@@ -63,6 +64,8 @@
 		return g.usage()
 	case "quarantine":
 		return g.quarantine()
+	case "cold":
+		return g.cold()
 	case "drains":
 		return g.drains()
 	case "routes":
@@ -194,6 +197,8 @@
 		} else if configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_REPLICA, one.ID) ||
 			configuration.Drained(drained, doorstepv1.DrainKind_DRAIN_KIND_ZONE, one.Zone) {
 			state = "drained"
+		} else if one.ColdFor > 0 {
+			state = "cold"
 		}
 		policies := slices.Sorted(maps.Keys(one.Versions))
 		if len(policies) == 0 {
@@ -342,6 +347,19 @@
 	return rows
 }
 
+// cold lists the windows of cold replicas: who took requests last, how many all nodes have taken, and how
+// many seconds are left, less than 0 where a window is over.
+func (g *gathering) cold() [][]string {
+	var rows [][]string
+	for _, record := range g.read(coldstart.Table, coldstart.Table, "") {
+		window := &doorstepv1.ColdWindow{}
+		g.decode(record, window)
+		left := time.Duration(window.UntilMs)*time.Millisecond - g.clock
+		rows = append(rows, []string{record.Key, window.Service, window.Node, number(window.Taken), strconv.FormatFloat(left.Seconds(), 'f', 1, 64)})
+	}
+	return rows
+}
+
 func (g *gathering) drains() [][]string {
 	var rows [][]string
 	for _, drain := range g.configuration().Drains {
--- a/internal/request/query/query.go
+++ b/internal/request/query/query.go
@@ -23,6 +23,7 @@
 	"samples":     {"experiment", "trainer", "step", "attempt", "policy", "listed", "samples", "state"},
 	"leases":      {"lease", "holder", "ordering"},
 	"usage":       {"window", "tenant", "requests", "accepted"},
+	"cold":        {"replica", "service", "node", "taken", "left_s"},
 	"quarantine":  {"request", "route", "tenant", "crashes", "trials", "state", "held_s", "age_s"},
 	"drains":      {"kind", "name"},
 	"routes":      {"route", "host", "path", "kind", "services", "timeout", "attempts"},
