--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -15,6 +15,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/cluster"
+	"github.com/doorstep/doorstep/internal/process/coldstart"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
@@ -64,6 +65,8 @@
 		return g.usage()
 	case "quarantine":
 		return g.quarantine()
+	case "cold":
+		return g.cold()
 	case "drains":
 		return g.drains()
 	case "routes":
@@ -200,6 +203,8 @@
 		state := "ready"
 		if reason := known.Withheld(); reason != endpoint.NotWithheld {
 			state = string(reason)
+		} else if one.ColdFor > 0 {
+			state = "cold"
 		}
 		policies := slices.Sorted(maps.Keys(one.Versions))
 		if len(policies) == 0 {
@@ -349,6 +354,19 @@
 	return rows
 }
 
+// cold lists the windows of cold replicas: who took requests last, how many all nodes have taken, and how
+// many seconds are left, less than 0 where a window is over.
+func (g *gathering) cold() [][]string {
+	var rows [][]string
+	for _, record := range g.read(coldstart.Table, coldstart.Table, "") {
+		window := &doorstepv1.ColdWindow{}
+		g.decode(record, window)
+		left := time.Duration(window.UntilMs)*time.Millisecond - g.clock
+		rows = append(rows, []string{record.Key, window.Service, window.Node, number(window.Taken), strconv.FormatFloat(left.Seconds(), 'f', 1, 64)})
+	}
+	return rows
+}
+
 func (g *gathering) drains() [][]string {
 	var rows [][]string
 	for _, drain := range g.configuration().Drains {
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -24,6 +24,7 @@
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
 	query := n.query(now)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
+	query.Look = wanted.Look
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
 	query.Room = rolloutRoom
@@ -79,9 +80,19 @@
 	return &endpoint.Query{Now: now, Zone: n.options.Topology.Zone, Rotation: n.rotation}
 }
 
-// pick chooses an endpoint of the route's services. One that was ejected is better than
-// none, but worse than to wait for room at another: it fails at once, so it always has room.
+// pick chooses an endpoint of the route's services, to which a request is sent right then.
 func (n *Node) pick(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	chosen := n.choose(profile, query, route)
+	if chosen != nil && !query.Look {
+		n.noteSend(query.Now, chosen, query.Room > 0)
+	}
+	return chosen
+}
+
+// choose prefers a warm endpoint to a cold one, even if it has to be waited for. One that was ejected
+// is better than none, but worse than to wait for room at another: it fails at once, so it always has
+// room.
+func (n *Node) choose(profile *endpoint.Profile, query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
 	order := n.splitter.Order(route)
 	if chosen := n.pickInOrder(profile, query, order); chosen != nil {
 		return chosen
@@ -89,6 +100,9 @@
 	if query.Room > 0 && n.roomLater(profile, *query, order) {
 		return nil
 	}
+	if chosen, later := n.pickCold(profile, *query, order); chosen != nil || later {
+		return chosen
+	}
 	query.AllowEjected = true
 	return n.pickInOrder(profile, query, order)
 }
@@ -96,6 +110,7 @@
 // pickInOrder tries services in the order of the splitter.
 func (n *Node) pickInOrder(profile *endpoint.Profile, query *endpoint.Query, order []string) *endpoint.Endpoint {
 	for _, service := range order {
+		n.guard(query, service)
 		if chosen := profile.Pick(query, n.endpoints.Service(service)); chosen != nil {
 			return chosen
 		}
@@ -105,7 +120,7 @@
 
 // roomLater reports whether there is an endpoint that lacks nothing but room.
 func (n *Node) roomLater(profile *endpoint.Profile, query endpoint.Query, order []string) bool {
-	query.Room = math.Inf(1)
+	query.Room, query.Unguarded = math.Inf(1), true
 	return n.pickInOrder(profile, &query, order) != nil
 }
 
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -130,7 +130,7 @@
 	return table == tables[len(tables)-1]
 }
 
-func (n *Node) noteReplica(change endpoint.Change) {
+func (n *Node) noteReplica(now time.Time, change endpoint.Change) {
 	if change.Endpoint == nil {
 		return
 	}
@@ -142,6 +142,7 @@
 	case change.Removed:
 		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
 		n.queue.Add(task.Forget{Address: one.Address})
+		n.forgetCold(now, one.ID)
 	case change.Leaving:
 		n.queue.Log(event.ReplicaLeaving, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
 	}
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -48,6 +48,11 @@
 	// the evacuation lifted, zero otherwise: the replica may have turned cold meanwhile.
 	Evacuated      bool
 	EvacuatedUntil time.Time
+	// ColdUntil is when the endpoint is warm by its records, never too early.
+	ColdUntil time.Time
+	// SendBy is until when the request must be sent that the endpoint was chosen for last, zero for
+	// any time.
+	SendBy time.Time
 
 	told         int
 	toldAt       time.Time
@@ -59,6 +64,8 @@
 	pace         time.Duration
 	pacedAt      time.Time
 	heardAt      time.Time
+	coldRevision int64
+	coldHeardAt  time.Time
 }
 
 // Load returns the requests that are known to be at the endpoint: this node's own,
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -27,6 +27,14 @@
 	BestPace time.Duration
 	// AllowEjected also takes endpoints that failed lately.
 	AllowEjected bool
+	// ColdLasts is how long a replica is cold after its start, 0 where it bears all at once; OnlyCold
+	// takes cold endpoints alone, and without it none is taken.
+	ColdLasts time.Duration
+	OnlyCold  bool
+	// Permit, unless nil, reports whether the node may send to an endpoint at present. Unguarded asks
+	// for endpoints as well that it may send to later; Look says that nothing is sent.
+	Permit          func(e *Endpoint) bool
+	Unguarded, Look bool
 	// Rotation breaks ties; it differs from choice to choice.
 	Rotation uint64
 }
@@ -221,7 +229,8 @@
 			return false
 		}
 	}
-	return true
+	// What cold replicas bear bounds all that is sent.
+	return Warmth(q, candidate) && Permitted(q, candidate)
 }
 
 func (p *Profile) sum(q *Query, candidate *Endpoint) float64 {
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -93,6 +93,7 @@
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			return o.onProgress(now, index, run, events, pace)
 		},
+		SendBy: chosen.SendBy,
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.account(now, chosen.ID, o.job.Model, result, now.Sub(sentAt))
 			leave()
@@ -162,7 +163,7 @@
 		return false
 	}
 	better := o.jobs.options.Place(now, Placement{
-		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true, Look: true,
 	})
 	if better == nil || better.Pace(now) == 0 {
 		return false
