Cold replicas: the soak turns replicas cold; overdue items pass the token buckets

Cause: in a soak whose replicas were to run 19 items a second each, with a cold rate of 9.3, items were given up for their age beside idle replicas: token buckets hold warm ones to the cold rate. Change: items of jobs that have used half of their time pass without a token; a newcomer counts one more job than it knows. The soak has cold replicas, a check, and a cold rate above what each replica gets.

--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -123,6 +123,11 @@
 	if query.Unguarded || query.Room == 0 && n.DiscoveryAge(query.Now) < unconfirmedAfter {
 		return
 	}
+	if query.Overdue && !query.OnlyCold && n.inTouch(query.Now) {
+		// Buckets hold warm replicas down to the rate of cold ones. Where that is less than what
+		// comes in, items would be given up beside idle replicas.
+		return
+	}
 	items := query.Room > 0
 	query.Permit = func(e *endpoint.Endpoint) bool {
 		return n.cold.gate.Allows(query.Now, e.ID, service, bound, n.sender(query.Now, e, items))
@@ -135,15 +140,21 @@
 	switch {
 	case !items:
 		return coldstart.Sender{Share: 1}
-	case now.Sub(n.observed(now)) >= unconfirmedAfter || n.DiscoveryAge(now) >= unconfirmedAfter:
+	case !n.inTouch(now):
 		return coldstart.Sender{Items: true}
 	}
 	return coldstart.Sender{Items: true, Share: n.senders(now, e)}
 }
 
+// inTouch reports whether this node's view of replicas and of the owners of jobs is confirmed.
+func (n *Node) inTouch(now time.Time) bool {
+	return now.Sub(n.observed(now)) < unconfirmedAfter && n.DiscoveryAge(now) < unconfirmedAfter
+}
+
 // senders counts the nodes that send items to an endpoint, this one included: the owners of open jobs
 // whose model it has, not too old. While this node is new among them, each of these jobs counts as
-// another node's, and two at the least: after an outage many change their owners at the same moment.
+// another node's, and one more that is not heard of yet: after an outage many change their owners at
+// the same moment.
 func (n *Node) senders(now time.Time, e *endpoint.Endpoint) int {
 	n.countOwners(now)
 	nodes, jobs, last := 1, 0, n.options.Name
@@ -159,7 +170,7 @@
 		}
 	}
 	if n.cold.owningSince.IsZero() || now.Sub(n.cold.owningSince) < newcomerFor {
-		return max(nodes, jobs, 2)
+		return max(nodes, jobs+1, 2)
 	}
 	return nodes
 }
--- a/internal/process/cluster/cold_test.go
+++ b/internal/process/cluster/cold_test.go
@@ -95,7 +95,8 @@
 }
 
 func (c *coldNode) run(length time.Duration) {
-	for end := c.Now.Add(length); c.Now.Before(end) && c.Step(); {
+	for end := c.Now.Add(length); c.Now.Before(end); {
+		c.Step()
 	}
 }
 
@@ -177,7 +178,8 @@
 		})
 		return len(waits) < items
 	})
-	for len(waits) < items && c.Now.Sub(began) < time.Minute && c.Step() {
+	for len(waits) < items && c.Now.Sub(began) < time.Minute {
+		c.Step()
 	}
 	return waits[len(waits)-1], waits[len(waits)/2]
 }
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -24,7 +24,7 @@
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
 	query := n.query(now)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
-	query.Look = wanted.Look
+	query.Look, query.Overdue = wanted.Look, wanted.Overdue
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
 	query.Room = rolloutRoom
--- a/internal/process/coldstart/coldstart_test.go
+++ b/internal/process/coldstart/coldstart_test.go
@@ -138,7 +138,8 @@
 			return true
 		})
 	}
-	for end := m.Now.Add(30 * time.Second); m.Now.Before(end) && m.Step(); {
+	for end := m.Now.Add(30 * time.Second); m.Now.Before(end); {
+		m.Step()
 	}
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -53,6 +53,7 @@
 		load.Go(func() { s.probe(ctx, n) })
 	}
 	load.Go(func() { s.operator(ctx) })
+	load.Go(func() { s.turnCold(ctx) })
 }
 
 func pause(ctx context.Context, random *rand.Rand, mean time.Duration) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -30,6 +30,8 @@
 	listener net.Listener
 	mode     atomic.Int32
 	delay    atomic.Int64
+	// changedAt is when its mode or delay was set last, in Unix nanoseconds.
+	changedAt atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -54,10 +56,21 @@
 }
 
 // SetMode sets one of the link modes.
-func (p *Proxy) SetMode(mode int) { p.mode.Store(int32(mode)) }
+func (p *Proxy) SetMode(mode int) {
+	p.mode.Store(int32(mode))
+	p.changedAt.Store(time.Now().UnixNano())
+}
 
 // SetDelay delays every read of the link, each way.
-func (p *Proxy) SetDelay(d time.Duration) { p.delay.Store(int64(d)) }
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.delay.Store(int64(d))
+	p.changedAt.Store(time.Now().UnixNano())
+}
+
+// Steady reports whether the link has passed everything on at once for a while.
+func (p *Proxy) Steady(since time.Duration) bool {
+	return p.mode.Load() == LinkOpen && p.delay.Load() == 0 && time.Since(time.Unix(0, p.changedAt.Load())) > since
+}
 
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -184,7 +184,7 @@
 // configure writes the next configuration; its version names a route of its own.
 func (s *Soak) configure() int64 {
 	version := s.config.Load() + 1
-	s.store.Put("op", "config", platformtest.WithTenants(platformtest.Generation(int(version)), platformtest.Tenant{
+	s.store.Put("op", "config", platformtest.WithTenants(coldServices(platformtest.Generation(int(version))), platformtest.Tenant{
 		Name: tenant, Keys: []string{lastingKey, generationKey(version)},
 	}))
 	s.config.Store(version)
@@ -197,6 +197,7 @@
 	id := fmt.Sprintf("%s-%d", service, s.named)
 	s.mu.Unlock()
 	link := &Proxy{}
+	cold := &coldReplica{id: id, link: link}
 	cfg := platformtest.ReplicaConfig{
 		ID: id, Service: service, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
 		Via: func(address string) string {
@@ -211,6 +212,7 @@
 			return listed
 		},
 		CrashOn: poisonBody(service), OnCrash: func(string) { s.crashed(id) },
+		ColdFor: s.coldFor(), OnArrival: func(string) { s.check.coldArrived(cold) },
 		OnRun:    func(request string) { s.check.Ran(id, request) },
 		OnWhole:  s.check.MadeWhole,
 		OnFailed: s.check.Failed,
@@ -221,6 +223,7 @@
 		return err
 	}
 	one.OnHeader(s.check.Head)
+	cold.of.Store(one)
 	s.mu.Lock()
 	s.replicas = append(s.replicas, &replica{Replica: one, link: link})
 	s.mu.Unlock()
@@ -250,6 +253,7 @@
 listen: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
+cold: {overshoot: 1.5, slack: 5}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
 `, name, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
