--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -123,11 +123,6 @@
 	if query.Unguarded || query.Room == 0 && n.DiscoveryAge(query.Now) < unconfirmedAfter {
 		return
 	}
-	if query.Overdue && !query.OnlyCold && n.inTouch(query.Now) {
-		// Buckets hold warm replicas down to the rate of cold ones. Where that is less than what
-		// comes in, items would be given up beside idle replicas.
-		return
-	}
 	items := query.Room > 0
 	query.Permit = func(e *endpoint.Endpoint) bool {
 		return n.cold.gate.Allows(query.Now, e.ID, service, bound, n.sender(query.Now, e, items))
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -24,7 +24,7 @@
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
 	query := n.query(now)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
-	query.Look, query.Overdue = wanted.Look, wanted.Overdue
+	query.Look = wanted.Look
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
 	query.Room = rolloutRoom
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -32,10 +32,9 @@
 	ColdLasts time.Duration
 	OnlyCold  bool
 	// Permit, unless nil, reports whether the node may send to an endpoint at present. Unguarded asks
-	// for endpoints as well that it may send to later; Look says that nothing is sent; Overdue that the
-	// item would be given up for its age before long.
-	Permit                   func(e *Endpoint) bool
-	Unguarded, Look, Overdue bool
+	// for endpoints as well that it may send to later; Look says that nothing is sent.
+	Permit          func(e *Endpoint) bool
+	Unguarded, Look bool
 	// Rotation breaks ties; it differs from choice to choice.
 	Rotation uint64
 }
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -68,8 +68,6 @@
 	Long bool
 	// Tokens is the memory that the item is expected to take at its replica.
 	Tokens int
-	// Overdue says that the item would be given up for its age before long.
-	Overdue bool
 	// Look asks where the item would go; nothing is sent there.
 	Look bool
 }
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -62,7 +62,6 @@
 	chosen := o.jobs.options.Place(now, Placement{
 		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion,
 		Prefer: o.prompts[content.Group], Avoid: one.avoid, Exclude: o.apartFrom(one), Long: one.long, Tokens: tokens,
-		Overdue: o.overdue(now, route),
 	})
 	if chosen == nil {
 		return false
@@ -108,11 +107,6 @@
 	return true
 }
 
-// overdue reports whether half of the time has passed after which the job's items may be given up.
-func (o *ownedJob) overdue(now time.Time, route *port.Route) bool {
-	return route.MaxQueue > 0 && o.jobs.age(now, o.head.AcceptedAtMs) > route.MaxQueue/2
-}
-
 // heldTokens is the memory that a run is expected to take at its endpoint.
 type heldTokens struct {
 	endpoint *endpoint.Endpoint
