Cold replicas: a caller's claim goes on at the next replica; no claim beside an attempt under way

Cause: that a window is used up shows in the answer to a claim, after which other cold replicas were not tried; and a second attempt of a slow request would have held the first one's answer up to 100 ms.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -87,7 +87,8 @@
 		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
 		x.noteChosen(now, chosen)
 	})
-	if chosen == nil && !quarantined {
+	if chosen == nil && !quarantined && !x.relay.Pending() {
+		// A second replica for a request that is slow at the first is not worth the wait for a claim.
 		return x.chooseCold()
 	}
 	return chosen
--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -273,17 +273,18 @@
 		if endpoint.Requests.Pick(query, n.endpoints.Service(service)) == nil {
 			continue
 		}
-		n.claimForCaller(query, service, bound, wanted, done)
+		n.claimForCaller(query, service, bound, bound.Lasts, wanted, done)
 		return true
 	}
 	return false
 }
 
-func (n *Node) claimForCaller(query *endpoint.Query, service string, bound coldstart.Bound, wanted func() bool, done func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)) {
-	comeBack := bound.Lasts
+// claimForCaller tries one cold replica after the other: that a window is used up shows in the answer to
+// a claim.
+func (n *Node) claimForCaller(query *endpoint.Query, service string, bound coldstart.Bound, comeBack time.Duration, wanted func() bool, done func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)) {
 	query.Permit = func(e *endpoint.Endpoint) bool {
 		wait := n.cold.gate.Wait(query.Now, e.ID, service, bound)
-		comeBack = min(comeBack, wait, e.WarmAt(bound.Lasts).Sub(query.Now))
+		comeBack = min(comeBack, max(wait, 0), e.WarmAt(bound.Lasts).Sub(query.Now))
 		return wait == 0
 	}
 	chosen := endpoint.Requests.Pick(query, n.endpoints.Service(service))
@@ -293,13 +294,18 @@
 	}
 	n.cold.gate.Claim(query.Now, chosen.ID, service, bound, 1, func(now time.Time, granted bool) {
 		switch {
-		case !granted:
-			done(now, nil, n.cold.gate.Wait(now, chosen.ID, service, bound))
-		case !wanted() || chosen.Leaving():
+		case !wanted() || granted && chosen.Leaving():
 			done(now, nil, 0)
-		default:
+		case granted:
 			n.noteSend(now, chosen, false)
 			done(now, chosen, 0)
+		default:
+			next := *query
+			next.Now = now
+			next.Exclude = map[string]bool{chosen.ID: true}
+			maps.Copy(next.Exclude, query.Exclude)
+			wait := n.cold.gate.Wait(now, chosen.ID, service, bound)
+			n.claimForCaller(&next, service, bound, min(comeBack, wait), wanted, done)
 		}
 	})
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -112,6 +112,9 @@
 // Left returns the time that may be granted to a replica.
 func (r *Relay) Left(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
+// Pending reports whether an attempt is under way.
+func (r *Relay) Pending() bool { return r.open > 0 }
+
 // LimitAttempts lowers the number of replicas that the request may be sent to.
 func (r *Relay) LimitAttempts(most int) { r.maxAttempts = min(r.maxAttempts, most) }
 
