--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -90,7 +90,8 @@
 			x.relay.Evacuated()
 		}
 	})
-	if chosen == nil && !quarantined {
+	if chosen == nil && !quarantined && !x.relay.Pending() {
+		// A second replica for a request that is slow at the first is not worth the wait for a claim.
 		return x.chooseCold()
 	}
 	return chosen
