Homes of requests and jobs, and distance in placing

Cause: no line of the code knew a region. A request whose route or tenant names regions went to any replica, its job to any owner; a zone 1 ms away rated like one 40 ms away and back. Change: port.Homes (both bind), one filter in all profiles, owners by head and configuration, an owner hands over what a newer configuration keeps from its region; no replica in the homes is refused at once. Requests choose among the replicas from which an answer is expected soonest, items take the near one of two equals. The way is measured by the opening of connections. Ruled out: a constant weight for the region: at any weight an idle far replica beats a near one with some load, or a full near one beats an idle far one.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -74,6 +74,10 @@
 
 // Client keeps connections to replicas.
 type Client struct {
+	// OnConnect, unless nil, is told how long it took to open each connection for a call. It is set
+	// before use.
+	OnConnect func(address string, took time.Duration)
+
 	mu    sync.Mutex
 	idle  map[string][]*connection
 	opens uint64
@@ -246,10 +250,14 @@
 		}
 		_ = conn.Close()
 	}
+	startedAt := time.Now()
 	opened, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	if c.OnConnect != nil {
+		c.OnConnect(address, time.Since(startedAt))
+	}
 	return &connection{Conn: opened, address: address, reader: bufio.NewReader(opened)}, nil
 }
 
--- a/internal/port/topology.go
+++ b/internal/port/topology.go
@@ -16,3 +16,13 @@
 	}
 	return t.Regions[zone]
 }
+
+// Several reports whether the deployment is known to lie in more than one region.
+func (t Topology) Several() bool {
+	for _, region := range t.Regions {
+		if region != t.Region {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -171,6 +171,7 @@
 	a.acts, a.endActs = context.WithCancel(base)
 	a.log = newEventLog(options.Log, func() time.Duration { return time.Duration(a.clockAhead.Load()) + a.since(a.startedAt) })
 	a.metrics = newMetrics(a)
+	a.measureConnections()
 	a.steps = a.newSteps()
 	a.trainers = a.newTrainerMux()
 	a.node = cluster.New(a.startedAt, cluster.Options{
@@ -258,10 +259,12 @@
 	case task.Watch:
 		go a.finishRecord(watchCall, t.Done, func() port.RecordResult { return a.store.Watch(a.base, t.Table, t.After, t.Wait) })
 	case task.Run:
+		a.noteSent(sentItem, t.Replica)
 		running, cancel := context.WithCancel(a.base)
 		a.runs[t.ID] = cancel
 		go a.run(running, t)
 	case task.ScoringCall:
+		a.noteSent(sentScoring, t.Replica)
 		calling, cancel := context.WithTimeout(a.base, t.Limit)
 		a.runs[t.ID] = cancel
 		go a.callScoring(calling, t)
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -78,11 +78,12 @@
 		if x.quarantined(now) {
 			return
 		}
-		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
+		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude)
 		if chosen != nil {
 			chosen.InFlight++
 			chosen.UsedAt = now
 			x.exclude[chosen.ID] = true
+			x.agent.noteSent(sentRequest, chosen.ID)
 			x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
 		}
 	})
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -13,7 +13,7 @@
 
 // forward relays a request whose answer is one body.
 func (a *Agent) forward(w http.ResponseWriter, x *exchange) {
-	if !x.letThrough(w) {
+	if !x.served(w) || !x.letThrough(w) {
 		return
 	}
 	leaving := x.request.Context()
@@ -67,7 +67,7 @@
 	_, _ = w.Write(ended.body)
 	took := x.agent.since(x.started)
 	x.agent.metrics.answer(x.route, ended.status, took)
-	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status,
+	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "region", ended.endpoint.Region, "status", ended.status,
 		"attempts", x.launched, "replicas", strings.Join(x.tried, " "), "took_ms", took.Milliseconds(), "route", x.route.Name)
 }
 
--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -78,6 +78,8 @@
 		a.refuse(w, id, http.StatusConflict, 0, reasonIDInUse)
 	case batch.Unsure:
 		a.refuse(w, id, http.StatusGatewayTimeout, 0, reasonStoreSilent)
+	case batch.Unserved:
+		a.refuse(w, id, http.StatusServiceUnavailable, homesComeBack, reasonNoHome)
 	case batch.NotDone, batch.Done:
 		a.refuse(w, id, http.StatusServiceUnavailable, comeBack, reasonStoreRefuses)
 	}
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -35,6 +35,7 @@
 	scoring    *prometheus.HistogramVec
 	jobs       *prometheus.CounterVec
 	storeCalls *prometheus.HistogramVec
+	elsewhere  *prometheus.CounterVec
 }
 
 func newMetrics(a *Agent) *metrics {
@@ -56,9 +57,12 @@
 			Help: "Batch jobs handed in, by outcome."}, []string{"outcome"}),
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "doorstep_store_call_seconds",
 			Help: "Calls to the record store, by kind and outcome.", Buckets: latencyBuckets}, []string{"call", "outcome"}),
+		elsewhere: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "doorstep_sent_to_other_regions_total",
+			Help: "Requests, items and scoring calls sent to replicas in another region."}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.waits, m.scoring, m.jobs, m.storeCalls)
+	m.registry.MustRegister(m.answers, m.refusals, m.attempts, m.runs, m.waits, m.scoring, m.jobs, m.storeCalls, m.elsewhere)
 	m.registerGauges(a)
+	m.registerDistances(a)
 	return m
 }
 
@@ -142,7 +146,7 @@
 // caller's input would make a label for each.
 var refusalReasons = []string{
 	reasonNoConfiguration, reasonNoRoute, reasonLargeHead, reasonNoID, reasonLargeBody, reasonCutBody, reasonNoJob, reasonStoreSilent,
-	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, relay.ReasonDeadline, relay.ReasonNoAttempt,
+	reasonStoreRefuses, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, reasonNoHome, relay.ReasonDeadline, relay.ReasonNoAttempt,
 }
 
 var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached", relay.Refused: "refused"}
@@ -165,7 +169,7 @@
 }
 
 func (m *metrics) accepted(outcome batch.Outcome) {
-	names := map[batch.Outcome]string{batch.Done: "accepted", batch.NotDone: "refused", batch.Unsure: "unsure"}
+	names := map[batch.Outcome]string{batch.Done: "accepted", batch.NotDone: "refused", batch.Unsure: "unsure", batch.Unserved: "unserved"}
 	m.jobs.WithLabelValues(names[outcome]).Inc()
 }
 
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -13,6 +13,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/distance"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
@@ -73,6 +74,7 @@
 	routes    *routes.Table
 	splitter  *routes.Splitter
 	endpoints *endpoint.Registry
+	distances *distance.Distances
 	jobs      *batch.Jobs
 	// quarantine knows the requests that crash replicas.
 	quarantine *quarantine.Quarantine
@@ -100,7 +102,8 @@
 func New(now time.Time, options Options) *Node {
 	n := &Node{
 		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clock: storeClock{base: now},
-		lapses: lapses{kept: map[string]bool{}}, leases: map[string]*recordlease.Lease{},
+		distances: distance.New(options.Topology),
+		lapses:    lapses{kept: map[string]bool{}}, leases: map[string]*recordlease.Lease{},
 		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
 	}
 	n.splitter = routes.NewSplitter(n.random.Float64())
@@ -111,7 +114,7 @@
 		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
 		Latency:    func() time.Duration { return n.latency.longest },
 		LengthHint: options.Decoder.LengthHint, MostEvents: n.mostEvents, ExpectedTokens: n.expectedTokens, Observed: n.observed,
-		Quarantine: n.quarantine,
+		Quarantine: n.quarantine, Homes: n.jobHomes(),
 	})
 	n.lease = n.newLease(orderLeaseKey, recordlease.Prompt, false)
 	if options.Duties.Usage != nil {
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -22,13 +22,13 @@
 
 // place chooses an endpoint for an item of a batch job.
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
-	query := n.query(now)
+	query := n.query(now, wanted.Route, wanted.Tenant)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
 	query.Room = rolloutRoom
 	query.Exclude = excluded(wanted)
-	query.BestPace = n.bestPace(now, wanted.Route)
+	query.BestPace = n.bestPace(now, wanted.Route, query.Homes)
 	if wanted.Long {
 		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
 	}
@@ -45,11 +45,11 @@
 	return exclude
 }
 
-// bestPace returns the least time between two events of runs on a route's replicas.
-func (n *Node) bestPace(now time.Time, route *port.Route) time.Duration {
+// bestPace returns the least time between two events of runs on a route's replicas within homes.
+func (n *Node) bestPace(now time.Time, route *port.Route, homes port.Homes) time.Duration {
 	best := time.Duration(0)
 	for _, backend := range route.Backends {
-		pace := endpoint.BestPace(now, n.endpoints.Service(backend.Service))
+		pace := endpoint.BestPace(now, within(homes, n.endpoints.Service(backend.Service)))
 		if best == 0 || pace > 0 && pace < best {
 			best = pace
 		}
@@ -57,26 +57,32 @@
 	return best
 }
 
-// Choose chooses an endpoint for a caller's request that has been to those excluded.
-func (n *Node) Choose(now time.Time, route *port.Route, model string, exclude map[string]bool) *endpoint.Endpoint {
-	query := n.query(now)
+// Choose chooses an endpoint for a request of a tenant's caller that has been to those excluded.
+func (n *Node) Choose(now time.Time, route *port.Route, tenant, model string, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now, route, tenant)
 	query.Exclude = exclude
 	query.Model = model
 	return n.pick(&endpoint.Requests, query, route)
 }
 
-// placeScoring chooses an endpoint for an item's scoring call that has been to those
-// excluded.
-func (n *Node) placeScoring(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint {
-	query := n.query(now)
+// placeScoring chooses an endpoint for the scoring call of an item of a tenant's that has been to
+// those excluded.
+func (n *Node) placeScoring(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint {
+	query := n.query(now, route, tenant)
 	query.Exclude = exclude
 	query.Room = scoringRoom
 	return n.pick(&endpoint.ScoringCalls, query, route)
 }
 
-func (n *Node) query(now time.Time) *endpoint.Query {
+func (n *Node) query(now time.Time, route *port.Route, tenant string) *endpoint.Query {
 	n.rotation++
-	return &endpoint.Query{Now: now, Zone: n.options.Topology.Zone, Rotation: n.rotation}
+	query := &endpoint.Query{
+		Now: now, Zone: n.options.Topology.Zone, Region: n.options.Topology.Region, Homes: n.Homes(route, tenant), Rotation: n.rotation,
+	}
+	if n.distances.Several() {
+		query.Away = n.distances.Away
+	}
+	return query
 }
 
 // pick chooses an endpoint of the route's services. One that was ejected is better than
--- /dev/null
+++ b/internal/process/distance/distance_test.go
@@ -0,0 +1,58 @@
+package distance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+var topology = port.Topology{Zone: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "north", "c": "south", "d": "south", "e": "west"}}
+
+func TestAway(t *testing.T) {
+	d := New(topology)
+	if got := d.Away("c"); got != assumed {
+		t.Errorf("a region of which nothing was measured is %s away", got)
+	}
+	d.Note("a", 2*time.Millisecond)
+	d.Note("b", 4*time.Millisecond)
+	d.Note("c", 42*time.Millisecond)
+	for zone, want := range map[string]time.Duration{
+		"a": 0, "b": 0, "c": 40 * time.Millisecond, "d": 40 * time.Millisecond, "e": assumed, "nowhere": assumed,
+	} {
+		if got := d.Away(zone); got != want {
+			t.Errorf("zone %s is %s away, not %s", zone, got, want)
+		}
+	}
+}
+
+// TestEstimate: one slow connection tells little, a lasting change is followed.
+func TestEstimate(t *testing.T) {
+	d := New(topology)
+	d.Note("a", 0)
+	d.Note("c", 40*time.Millisecond)
+	d.Note("c", 140*time.Millisecond)
+	if got := d.Away("c"); got != 50*time.Millisecond {
+		t.Errorf("after one slow connection %s", got)
+	}
+	for range 30 {
+		d.Note("c", 140*time.Millisecond)
+	}
+	if got := d.Away("c"); got < 130*time.Millisecond {
+		t.Errorf("after many slow connections %s", got)
+	}
+	d.Note("c", 40*time.Millisecond)
+	if got := d.Away("c"); got != 40*time.Millisecond {
+		t.Errorf("after a fast one %s", got)
+	}
+}
+
+func TestOneRegion(t *testing.T) {
+	for _, one := range []port.Topology{{}, {Zone: "a"}, {Zone: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "north"}}} {
+		d := New(one)
+		d.Note("b", time.Second)
+		if d.Several() || d.Away("b") != 0 || d.Away("unknown") != 0 {
+			t.Errorf("%+v: several %t, %s away", one, d.Several(), d.Away("b"))
+		}
+	}
+}
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -214,6 +214,16 @@
 // Find returns an endpoint, nil when it is not listed.
 func (r *Registry) Find(id string) *Endpoint { return r.byID[id] }
 
+// At returns the endpoint at an address, nil when none is listed there.
+func (r *Registry) At(address string) *Endpoint {
+	for _, e := range r.byID {
+		if e.Address == address {
+			return e
+		}
+	}
+	return nil
+}
+
 // All returns all endpoints in the order of their IDs.
 func (r *Registry) All() []*Endpoint {
 	list := make([]*Endpoint, 0, len(r.byID))
--- a/internal/process/endpoint/endpoint_test.go
+++ b/internal/process/endpoint/endpoint_test.go
@@ -63,7 +63,7 @@
 		{"an idle endpoint", LeastLoad(query, idle), 1}, {"one with all slots taken", LeastLoad(query, busy), 0.5},
 		{"the fastest", Steady(query, idle), 1}, {"one as slow as a full batch", Steady(query, batch), 1}, {"a slow one", Steady(query, slow), 0.56}, {"one not known", Steady(query, busy), 1},
 		{"one with a free slot", FreeSlot(query, idle), 1}, {"one without", FreeSlot(query, busy), 0},
-		{"the own zone", SameZone(query, idle), 1}, {"the one with the prompt", Preferred(query, busy), 1}, {"another", Preferred(query, idle), 0},
+		{"the own zone", Near(query, idle), 1}, {"the one with the prompt", Preferred(query, busy), 1}, {"another", Preferred(query, idle), 0},
 	} {
 		if c.got != c.want {
 			t.Errorf("%s scores %f, should be %f", c.name, c.got, c.want)
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -3,13 +3,20 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
 )
 
 // Query says what a request needs of an endpoint.
 type Query struct {
 	Now time.Time
-	// Zone is the node's own.
-	Zone string
+	// Zone and Region are the node's own.
+	Zone, Region string
+	// Homes are the regions in which the request must stay.
+	Homes port.Homes
+	// Away returns how much longer the way to a zone and back is than within the own region; nil
+	// where there is one region.
+	Away func(zone string) time.Duration
 	// Model and MinVersion bound the weights; an empty model wants none.
 	Model      string
 	MinVersion int64
@@ -46,6 +53,9 @@
 type Profile struct {
 	filters []Filter
 	scorers []weightedScorer
+	// soonest profiles choose among the endpoints that answer soonest: for a request that takes
+	// milliseconds the way to another region counts, for a text that takes seconds it does not.
+	soonest bool
 }
 
 // Requests is the profile for callers' requests. Rollouts is the one for items of
@@ -55,20 +65,22 @@
 // they leave room for these.
 var (
 	Requests = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached},
-		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 2}, {SameZone, 1}},
+		filters: []Filter{NotDraining, InHomes, NotExcluded, NotEjected, VersionReached},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Fast, 2}, {Near, 1}},
+		soonest: true,
 	}
 	Rollouts = Profile{
-		filters: []Filter{NotDraining, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
-		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {FreeSlot, 3}, {FreeMemory, 4}, {SameZone, 0.5}},
+		filters: []Filter{NotDraining, InHomes, NotExcluded, NotEjected, VersionReached, NotLoading, HasRoom},
+		scorers: []weightedScorer{{LeastLoad, 4}, {Leisurely, 4}, {Preferred, 3}, {FreeSlot, 3}, {FreeMemory, 4}, {Near, 0.5}},
 	}
 	LongRollouts = Profile{
 		filters: Rollouts.filters,
-		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {FreeMemory, 6}, {SameZone, 0.1}},
+		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {FreeMemory, 6}, {Near, 0.1}},
 	}
 	ScoringCalls = Profile{
 		filters: append(slices.Clone(Requests.filters), HasRoom),
 		scorers: Requests.scorers,
+		soonest: true,
 	}
 )
 
@@ -169,14 +181,6 @@
 	return best
 }
 
-// SameZone is 1 in the node's own zone, 0 elsewhere.
-func SameZone(q *Query, e *Endpoint) float64 {
-	if e.Zone == q.Zone {
-		return 1
-	}
-	return 0
-}
-
 // Preferred is 1 for the endpoint that holds the prompt, 0 for others.
 func Preferred(q *Query, e *Endpoint) float64 {
 	if q.Prefer != "" && e.ID == q.Prefer {
@@ -191,23 +195,27 @@
 // Pick returns the chosen endpoint, nil when none may be used.
 func (p *Profile) Pick(q *Query, candidates []*Endpoint) *Endpoint {
 	best := -1.0
-	var near []*Endpoint
-	var sums []float64
+	var usable []*Endpoint
 	for _, candidate := range candidates {
-		if !p.allowed(q, candidate) {
-			continue
+		if p.allowed(q, candidate) {
+			usable = append(usable, candidate)
 		}
-		sum := p.sum(q, candidate)
-		best = max(best, sum)
-		near = append(near, candidate)
-		sums = append(sums, sum)
 	}
-	equal := near[:0]
-	for i, candidate := range near {
+	if p.soonest {
+		usable = soonest(q, usable)
+	}
+	sums := make([]float64, len(usable))
+	for i, candidate := range usable {
+		sums[i] = p.sum(q, candidate)
+		best = max(best, sums[i])
+	}
+	equal := usable[:0]
+	for i, candidate := range usable {
 		if sums[i] >= best-tieBand {
 			equal = append(equal, candidate)
 		}
 	}
+	equal = nearest(q, equal)
 	if len(equal) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/process/endpoint/region.go
@@ -0,0 +1,91 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sameRegion is what Near gives another zone of the own region. For items of batch jobs it keeps
+	// the zones of a region within tieBand of one another, and another region below them.
+	sameRegion = 0.8
+	// alikeDelays is up to where endpoints count as answering equally soon: zones of one region lie
+	// a millisecond or two apart, and the loads that a node knows of are some milliseconds old.
+	alikeDelays = 5 * time.Millisecond
+)
+
+// InHomes drops endpoints outside the regions in which the request must stay.
+func InHomes(q *Query, e *Endpoint) bool { return q.Homes.Allow(e.Region) }
+
+// Near is 1 in the node's own zone, sameRegion in the other zones of its region where there are
+// several regions, 0 elsewhere and where the endpoint's place is not known.
+func Near(q *Query, e *Endpoint) float64 {
+	switch {
+	case e.Zone == q.Zone:
+		return 1
+	case q.Away != nil && q.Region != "" && e.Region == q.Region:
+		return sameRegion
+	}
+	return 0
+}
+
+// Delay is how much later than from an idle endpoint of the own region an answer is expected: the way
+// there and back, and the wait for a slot, given how long a request runs.
+func Delay(q *Query, e *Endpoint, service time.Duration) time.Duration {
+	delay := q.Away(e.Zone)
+	if ahead := e.Load(q.Now) - e.Slots; ahead >= 0 {
+		delay += time.Duration(ahead+1) * service / time.Duration(max(e.Slots, 1))
+	}
+	return delay
+}
+
+// serviceTime returns how long a request runs, by the endpoint that answers fastest: the latencies of
+// others hold more of the time that requests waited there.
+func serviceTime(q *Query, candidates []*Endpoint) time.Duration {
+	service := time.Duration(0)
+	for _, one := range candidates {
+		own := one.latency - q.Away(one.Zone)
+		if one.latency > 0 && own > 0 && (service == 0 || own < service) {
+			service = own
+		}
+	}
+	if service == 0 {
+		return typicalLatency
+	}
+	return service
+}
+
+// soonest returns the candidates from which the caller is expected to have its answer soonest. So the
+// near region serves while it has a free slot, and gives way once its queues cost a caller more than
+// the way to another: at six slots, 25 ms a request and 40 ms of way, from 14 requests each on
+// (TestRequestsSpillByWhatTheCallerGets).
+func soonest(q *Query, candidates []*Endpoint) []*Endpoint {
+	if q.Away == nil || len(candidates) == 0 {
+		return candidates
+	}
+	service := serviceTime(q, candidates)
+	delays := make([]time.Duration, len(candidates))
+	for i, one := range candidates {
+		delays[i] = Delay(q, one, service)
+	}
+	bound := slices.Min(delays) + alikeDelays
+	var kept []*Endpoint
+	for i, one := range candidates {
+		if delays[i] <= bound {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+// nearest returns those of equally good candidates that are least far away.
+func nearest(q *Query, equal []*Endpoint) []*Endpoint {
+	if q.Away == nil || len(equal) == 0 {
+		return equal
+	}
+	least := q.Away(equal[0].Zone)
+	for _, one := range equal {
+		least = min(least, q.Away(one.Zone))
+	}
+	return slices.DeleteFunc(equal, func(one *Endpoint) bool { return q.Away(one.Zone) > least })
+}
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -44,6 +44,8 @@
 	VersionNamed       = 720
 	VersionOrdered     = 721
 	VersionLoaded      = 722
+	JobLeavesRegion    = 750
+	JobUnserved        = 751
 	StoreLost          = 801
 	StoreRegained      = 802
 	RecordUnreadable   = 803
@@ -110,6 +112,8 @@
 	{VersionNamed, Info, "version named", "A trainer named a newer version of a model."},
 	{VersionOrdered, Info, "version ordered", "The lease's holder ordered a replica to load a version; status is its answer."},
 	{VersionLoaded, Info, "version loaded", "A replica reports the version that it was ordered to load."},
+	{JobLeavesRegion, Info, "batch job leaves the region", "A newer configuration keeps the job from this node's region: it is handed over to a node of one of its homes."},
+	{JobUnserved, Warn, "batch job has no replica in its homes", "No replica lies in the regions in which the job must stay; its items wait for one until they may be given up."},
 	{StoreLost, Warn, "record store lost", "A watch of the record store broke; the node goes on with what it knows and reads the table anew."},
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -27,6 +27,9 @@
 	Absent
 	// OtherTenants means that the job's id is that of another tenant's job.
 	OtherTenants
+	// Unserved means that no replica lies in the regions in which the job must stay: it was not
+	// taken.
+	Unserved
 )
 
 const (
@@ -86,19 +89,27 @@
 		done(now, NotDone)
 		return
 	}
+	route := j.options.Route(job.Host, job.Path)
+	if !j.options.Homes.served(route, job.Tenant) {
+		j.logAcceptance(now, job, Unserved, 0)
+		done(now, Unserved)
+		return
+	}
+	homes := j.options.Homes.of(route, job.Tenant)
 	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(job)
 	if err != nil {
 		panic("a job must encode: " + err.Error())
 	}
 	a := &acceptance{jobs: j, job: job, startAt: now, pause: firstPause, done: done}
 	records := chunkRecords(content, func(chunk int) port.RecordKey { return contentKey(job.Id, chunk) })
-	owner := j.assign(now, job.Model)
+	owner := j.assign(now, job.Model, ownerRegions(homes, j.options.Homes.Region))
 	a.head = &doorstepv1.BatchJobHead{
 		Owner: owner.name, OwnerIncarnation: owner.incarnation,
 		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
 		AcceptedAtMs: acceptedAt.Milliseconds(), Chunks: int32(len(records)),
 		Model: job.Model, ExpectedTokens: j.expectedTokens(job), Tenant: job.Tenant,
 	}
+	j.bindRegions(a.head, job, homes)
 	const perTransaction = transactionBytes / chunkBytes
 	for len(records) > perTransaction {
 		a.early = append(a.early, records[:perTransaction])
--- a/internal/version/batch/assign.go
+++ b/internal/version/batch/assign.go
@@ -18,8 +18,9 @@
 // assign chooses the owner of a new job: the node that runs the model's other jobs, if it
 // was heard of just now. It alone knows what it has sent to the model's replicas, so that
 // two steps that overlap don't crowd the same ones, and it has connections to them. A wrong
-// guess costs what a dead owner costs: another node takes the job.
-func (j *Jobs) assign(now time.Time, model string) ownerID {
+// guess costs what a dead owner costs: another node takes the job. The owner lies in one of the
+// regions, of which nil are any.
+func (j *Jobs) assign(now time.Time, model string, regions []string) ownerID {
 	self := ownerID{name: j.options.Self, incarnation: j.options.Incarnation}
 	if model == "" || !j.observing {
 		return self
@@ -31,7 +32,7 @@
 			continue
 		}
 		unlisted[ownerID{known.Owner, known.OwnerIncarnation}] += known.Total - known.Listed
-		if now.Sub(known.changedAt) <= freshOwner && (newest == nil || known.AcceptedAtMs > newest.AcceptedAtMs) {
+		if now.Sub(known.changedAt) <= freshOwner && ownerWithin(known.BatchJobHead, regions) && (newest == nil || known.AcceptedAtMs > newest.AcceptedAtMs) {
 			newest = known
 		}
 	}
--- a/internal/version/batch/assign_test.go
+++ b/internal/version/batch/assign_test.go
@@ -38,7 +38,7 @@
 		for i, one := range c.heads {
 			b.jobs.setHead(b.now, string(rune('p'+i)), one, int64(i+1))
 		}
-		if got := b.jobs.assign(b.now.Add(c.age), "m"); got.name != c.want {
+		if got := b.jobs.assign(b.now.Add(c.age), "m", nil); got.name != c.want {
 			t.Errorf("%s: given to %s, should be %s", c.name, got.name, c.want)
 		}
 	}
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -57,7 +57,9 @@
 
 // Placement says what an item needs of an endpoint.
 type Placement struct {
-	Route      *port.Route
+	Route *port.Route
+	// Tenant handed the job in, empty where there are no tenants.
+	Tenant     string
 	Model      string
 	MinVersion int64
 	// Prefer is the endpoint that holds the item's prompt, Avoid one that failed it.
@@ -78,9 +80,9 @@
 	Random      *rand.Rand
 	// Place chooses an endpoint, nil when none has room.
 	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
-	// PlaceScoring chooses an endpoint for an item's scoring call that has been to those
-	// excluded, nil when none has room.
-	PlaceScoring func(now time.Time, route *port.Route, exclude map[string]bool) *endpoint.Endpoint
+	// PlaceScoring chooses an endpoint for the scoring call of an item of a tenant's that has been
+	// to those excluded, nil when none has room.
+	PlaceScoring func(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint
 	// LengthHint returns the tokens that a request's header says it will make.
 	LengthHint func(header http.Header) int
 	// MostEvents returns the most events that a request's text may have, 0 if it does not tell.
@@ -92,6 +94,8 @@
 	Find func(id string) *endpoint.Endpoint
 	// Route returns the route of a host and path under the configuration in force.
 	Route func(host, path string) *port.Route
+	// Homes tell where jobs may be kept and run.
+	Homes Homes
 	// Quarantine knows the requests that crash replicas.
 	Quarantine *quarantine.Quarantine
 	// Latency returns how long calls to the store take of late.
--- a/internal/version/batch/bench_test.go
+++ b/internal/version/batch/bench_test.go
@@ -58,7 +58,7 @@
 			}
 			return b.one
 		},
-		PlaceScoring: func(_ time.Time, _ *port.Route, exclude map[string]bool) *endpoint.Endpoint {
+		PlaceScoring: func(_ time.Time, _ *port.Route, _ string, exclude map[string]bool) *endpoint.Endpoint {
 			if b.scorer == nil || exclude[b.scorer.ID] {
 				return nil
 			}
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -49,6 +49,7 @@
 	next.Failures = maps.Clone(o.failures)
 	next.ScoringFailures = maps.Clone(o.scoringFailures)
 	next.ScoringLosses = maps.Clone(o.scoringLosses)
+	o.tellRegions(next)
 	if o.handOver {
 		next.Owner = ""
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -63,6 +63,8 @@
 	// wholeAt is when the groups that the client waits for are expected to be whole, zero while
 	// that can't be told.
 	wholeAt time.Time
+	// unserved is set while no replica lies in the job's homes.
+	unserved bool
 	// keeping is set while texts are on their way to the store.
 	keeping bool
 	keptAt  time.Time
@@ -89,6 +91,9 @@
 }
 
 func (j *Jobs) mayTake(now time.Time, id string, known *head) bool {
+	if !j.mayOwn(known.BatchJobHead) {
+		return false
+	}
 	if known.Owner == j.options.Self {
 		return true
 	}
@@ -194,6 +199,7 @@
 		o.jobs.options.Queue.Log(event.JobCompleted, "job", o.id, "total", o.head.Total)
 		return
 	}
+	o.keepHomes(now)
 	o.giveUp(now)
 	if !o.releasing && now.Sub(o.writtenAt) < unconfirmedFor && !now.Before(o.startAfter) {
 		o.startItems(now)
--- /dev/null
+++ b/internal/version/batch/regions.go
@@ -0,0 +1,119 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+)
+
+// Homes tell where jobs may be kept and run, by the configuration in force. The zero value allows any
+// region.
+type Homes struct {
+	// Region is this node's own. Several says that the deployment has more than one.
+	Region  string
+	Several bool
+	// Of returns the homes of a route's and a tenant's requests; the route may be nil.
+	Of func(route *port.Route, tenant string) port.Homes
+	// Named returns the route of a name, nil when there is none.
+	Named func(name string) *port.Route
+	// Served reports whether there is a replica in the homes of a route's and a tenant's requests.
+	Served func(route *port.Route, tenant string) bool
+}
+
+func (h Homes) of(route *port.Route, tenant string) port.Homes {
+	if h.Of == nil {
+		return port.Homes{}
+	}
+	return h.Of(route, tenant)
+}
+
+func (h Homes) served(route *port.Route, tenant string) bool {
+	return h.Served == nil || route == nil || h.Served(route, tenant)
+}
+
+// here reports whether this node may hold a job's content: it lies in a home, or in the region in
+// which the client handed the job in.
+func (h Homes) here(homes port.Homes, acceptedIn string) bool {
+	return homes.Allow(h.Region) || h.Region != "" && h.Region == acceptedIn
+}
+
+// ownerRegions returns the regions whose nodes may own a job, nil for any.
+func ownerRegions(homes port.Homes, acceptedIn string) []string {
+	if !homes.Bound {
+		return nil
+	}
+	regions := slices.Clone(homes.Regions)
+	if acceptedIn != "" && !slices.Contains(regions, acceptedIn) {
+		regions = append(regions, acceptedIn)
+	}
+	return regions
+}
+
+// bindRegions fixes in a new head where the job may be owned.
+func (j *Jobs) bindRegions(head *doorstepv1.BatchJobHead, job *doorstepv1.BatchJob, homes port.Homes) {
+	h := j.options.Homes
+	if h.Several || homes.Bound {
+		head.Route, head.AcceptedIn = job.Route, h.Region
+	}
+	head.Regions = ownerRegions(homes, h.Region)
+}
+
+// mayOwn reports whether this node may read and run a job: its head and the configuration in force
+// both bind, as either may be the newer.
+func (j *Jobs) mayOwn(head *doorstepv1.BatchJobHead) bool {
+	h := j.options.Homes
+	if len(head.Regions) > 0 && (h.Region == "" || !slices.Contains(head.Regions, h.Region)) {
+		return false
+	}
+	var route *port.Route
+	if h.Named != nil && head.Route != "" {
+		route = h.Named(head.Route)
+	}
+	return h.here(h.of(route, head.Tenant), head.AcceptedIn)
+}
+
+// ownerWithin reports whether the owner of a job surely lies in regions, of which nil are any.
+func ownerWithin(known *doorstepv1.BatchJobHead, regions []string) bool {
+	if len(regions) == 0 {
+		return true
+	}
+	outside := func(region string) bool { return !slices.Contains(regions, region) }
+	return len(known.Regions) > 0 && !slices.ContainsFunc(known.Regions, outside)
+}
+
+// homes returns the regions in which the job must stay, by the configuration in force.
+func (o *ownedJob) homes() port.Homes { return o.jobs.options.Homes.of(o.route(), o.job.Tenant) }
+
+// keepHomes hands the job over once a newer configuration keeps it from this node's region, and tells
+// of homes without a replica.
+func (o *ownedJob) keepHomes(now time.Time) {
+	homes := o.homes()
+	if o.releasing || !homes.Bound && !o.unserved {
+		return
+	}
+	h := o.jobs.options.Homes
+	if !h.here(homes, o.head.AcceptedIn) {
+		o.jobs.options.Queue.Log(event.JobLeavesRegion, "job", o.id, "region", h.Region, "homes", homes.Regions)
+		o.release(now)
+		return
+	}
+	served := h.served(o.route(), o.job.Tenant)
+	if !served && !o.unserved {
+		o.jobs.options.Queue.Log(event.JobUnserved, "job", o.id, "homes", homes.Regions)
+	}
+	o.unserved = !served
+}
+
+// tellRegions brings a head up to date with the homes. It keeps what it told last where there are
+// none any more, or none that a node could lie in.
+func (o *ownedJob) tellRegions(next *doorstepv1.BatchJobHead) {
+	if route := o.route(); route != nil && next.Route != "" {
+		next.Route = route.Name
+	}
+	if regions := ownerRegions(o.homes(), next.AcceptedIn); len(regions) > 0 {
+		next.Regions = regions
+	}
+}
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -60,7 +60,7 @@
 	one, content := &o.items[index], o.job.Items[index]
 	tokens := o.jobs.options.ExpectedTokens(route, one.header, len(one.events))
 	chosen := o.jobs.options.Place(now, Placement{
-		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion,
+		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion,
 		Prefer: o.prompts[content.Group], Avoid: one.avoid, Exclude: o.apartFrom(one), Long: one.long, Tokens: tokens,
 	})
 	if chosen == nil {
@@ -162,7 +162,7 @@
 		return false
 	}
 	better := o.jobs.options.Place(now, Placement{
-		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
+		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
 	})
 	if better == nil || better.Pace(now) == 0 {
 		return false
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -76,7 +76,7 @@
 			if o.scoringExhausted(index) {
 				return
 			}
-			chosen := o.jobs.options.PlaceScoring(now, route, one.scoring.exclude)
+			chosen := o.jobs.options.PlaceScoring(now, route, o.job.Tenant, one.scoring.exclude)
 			if chosen == nil {
 				one.scoring.relay.NoEndpoint()
 				continue
@@ -107,9 +107,9 @@
 		return
 	}
 	// Endpoints that failed the call before come last.
-	chosen := o.jobs.options.PlaceScoring(now, route, o.items[index].scoringFailedAt)
+	chosen := o.jobs.options.PlaceScoring(now, route, o.job.Tenant, o.items[index].scoringFailedAt)
 	if chosen == nil {
-		chosen = o.jobs.options.PlaceScoring(now, route, nil)
+		chosen = o.jobs.options.PlaceScoring(now, route, o.job.Tenant, nil)
 	}
 	if chosen == nil {
 		full[route] = true
--- a/internal/version/batch/scoring_test.go
+++ b/internal/version/batch/scoring_test.go
@@ -132,7 +132,7 @@
 	b := scoredBench(t)
 	other := *b.scorer
 	other.ID = "q2"
-	b.jobs.options.PlaceScoring = func(_ time.Time, _ *port.Route, exclude map[string]bool) *endpoint.Endpoint {
+	b.jobs.options.PlaceScoring = func(_ time.Time, _ *port.Route, _ string, exclude map[string]bool) *endpoint.Endpoint {
 		for _, one := range []*endpoint.Endpoint{b.scorer, &other} {
 			if !exclude[one.ID] {
 				return one
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -20,6 +20,8 @@
 	// tenants maps the digests of API keys to the names of their tenants, nil where no
 	// tenants are configured.
 	tenants map[port.KeyDigest]string
+	// homes holds those of the tenants that name some, by the tenants' names.
+	homes map[string]port.Homes
 }
 
 // New prepares a version of the configuration.
@@ -37,6 +39,7 @@
 		table.services[service.Name] = service
 	}
 	table.tenants = tenantsByKey(from.Tenants)
+	table.homes = homesByTenant(from.Tenants)
 	return table
 }
 
