--- a/internal/process/endpoint/region_test.go
+++ b/internal/process/endpoint/region_test.go
@@ -137,7 +137,7 @@
 // TestHedgesStayNear: a request that has been to near endpoints goes to another near one with room,
 // and to the far region once it has been to all.
 func TestHedgesStayNear(t *testing.T) {
-	list := fleet(2, 0)
+	list := fleet(5, 0)
 	tried := map[string]bool{}
 	for i := range 4 {
 		query := inNorth()
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -81,6 +81,7 @@
 	itemJobs     map[string]*jobRecord
 	orders       map[string]orderRecord
 	poison       map[string]*poisonRecord
+	homes        homesRecord
 	incarnations int
 	resultCount  int
 	orderCount   int
@@ -89,7 +90,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}}
+	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}, homes: newHomesRecord()}
 }
 
 func (c *checker) violate(w *World, invariant, format string, values ...any) {
@@ -171,6 +172,7 @@
 		c.violate(w, "no-regress", "%s went from version %d to %d", n.name, n.version, version)
 	}
 	n.version = version
+	c.homes.wentBy(n, version, w.Now)
 	if !n.healthy(w.Now) {
 		return
 	}
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -35,6 +35,7 @@
 	{"replica-slow", "a replica takes two to four times as long", 10 * time.Second, 6 * time.Second, slowReplica},
 	{"replica-breaks", "a replica breaks off its streams", 10 * time.Second, 5 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.anyReplica().breaking) }},
 	{"replica-drains", "a replica announces that it leaves, and goes", 9 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyReplica().drain() }},
+	{"homes-change", "requests of one model must stay in a region for a while", 12 * time.Second, 10 * time.Second, homesChange},
 	{"orders-late", "orders get no answer and are carried out seconds later", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.lateOrders) }},
 	{"orders-slow", "orders are under way for up to a second", 10 * time.Second, 6 * time.Second, func(w *World, lasts time.Duration) { w.during(lasts, &w.operator.slowOrders) }},
 	{"clock-step", "a node's time of day jumps by seconds, and back", 10 * time.Second, 6 * time.Second, stepClock},
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -137,6 +137,9 @@
 func (w *World) startRun(n *node, life uint64, t task.Run) {
 	one := &run{task: t, node: n, life: life, replica: w.at(t.Address), model: t.Header.Get("model")}
 	n.runs[t.ID] = one
+	if one.replica != nil && one.replica.ID == t.Replica {
+		w.check.sentTo(w, n, w.check.itemJobs[t.Item], "", t.Item, one.replica.zone)
+	}
 	w.After(callLatency, func() {
 		r := one.replica
 		switch {
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -17,6 +17,7 @@
 	scorerName    = "scorer"
 	scorerCount   = 3
 	scorerSlots   = 4
+	scorerZone    = "zone-0"
 	scoringTime   = 30 * time.Millisecond
 	slowScoring   = 600 * time.Millisecond
 	scoringPath   = "/score/x"
@@ -50,7 +51,7 @@
 // list writes the scorer's record.
 func (s *scorer) list() {
 	value, err := json.Marshal(port.ReplicaRecord{
-		ID: s.id, Service: scorerName, Address: s.address, Zone: "zone-0", Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
+		ID: s.id, Service: scorerName, Address: s.address, Zone: scorerZone, Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
 	})
 	if err != nil {
 		panic("a scorer must encode: " + err.Error())
@@ -113,6 +114,8 @@
 func (w *World) startScoring(n *node, life uint64, t task.ScoringCall) {
 	one := &scoringCall{task: t, node: n, life: life}
 	n.calls[t.ID] = one
+	known, _ := w.check.jobOfCall(t.Request)
+	w.check.sentTo(w, n, known, scorerName, t.Request, scorerZone)
 	w.After(t.Limit, func() { one.end(task.ScoringResult{Outcome: relay.Broken, Err: errNoAnswer}) })
 	w.After(callLatency, func() {
 		s := w.scorerAt(t.Address)
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -76,6 +76,7 @@
 }
 
 func (o *operator) write() {
+	o.world.check.homes.written(o.table)
 	o.put(routesKey, o.table)
 	o.changes = append(o.changes, configurationChange{o.table.Version, o.world.Now})
 }
@@ -159,6 +160,7 @@
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	answered := false
 	known.pending++
+	w.check.homes.handed(job.Id, n)
 	again := func() {
 		if !answered {
 			answered = true
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -272,6 +272,7 @@
 	case task.Commit:
 		w.store.write(n, func(now time.Time) port.RecordResult { return w.store.records.Commit(now, t.Transaction) }, answered(t.Done))
 	case task.Range:
+		w.check.reads(w, n, t.Query)
 		w.store.read(n, func(now time.Time) port.RecordResult { return w.store.records.Range(now, t.Query) }, answered(t.Done))
 	case task.Watch:
 		w.store.watch(n, t, answered(t.Done))
