--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -13,7 +13,7 @@
 
 // forward relays a request whose answer is one body.
 func (a *Agent) forward(w http.ResponseWriter, x *exchange) {
-	if !x.served(w) || !x.letThrough(w) {
+	if !x.letThrough(w) {
 		return
 	}
 	leaving := x.request.Context()
--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -20,7 +20,15 @@
 // three at the most with it (TestCrashingRequestsAreKeptFromReplicas).
 func (x *exchange) letThrough(w http.ResponseWriter) bool {
 	var verdict quarantine.Verdict
-	x.agent.do(func(now time.Time) { verdict = x.agent.node.Quarantine().Judge(now, x.asked.Fingerprint) })
+	served := false
+	x.agent.do(func(now time.Time) {
+		served = x.agent.node.Served(x.route, x.caller.Tenant)
+		verdict = x.agent.node.Quarantine().Judge(now, x.asked.Fingerprint)
+	})
+	if !served {
+		x.refuseUnserved(w)
+		return false
+	}
 	switch verdict.State {
 	case quarantine.Held:
 		x.refuseQuarantined(w, verdict.Left)
--- a/internal/process/agent/region.go
+++ b/internal/process/agent/region.go
@@ -21,14 +21,9 @@
 	sentScoring = "scoring"
 )
 
-// served reports whether some replica may serve the request at all. If not it was refused, as not run.
-func (x *exchange) served(w http.ResponseWriter) bool {
-	served := false
-	x.agent.do(func(time.Time) { served = x.agent.node.Served(x.route, x.caller.Tenant) })
-	if !served {
-		x.agent.refuse(w, x.id, http.StatusServiceUnavailable, homesComeBack, reasonNoHome, "route", x.route.Name, "tenant", x.caller.Tenant)
-	}
-	return served
+// refuseUnserved refuses a request that no replica may serve, as not run.
+func (x *exchange) refuseUnserved(w http.ResponseWriter) {
+	x.agent.refuse(w, x.id, http.StatusServiceUnavailable, homesComeBack, reasonNoHome, "route", x.route.Name, "tenant", x.caller.Tenant)
 }
 
 // noteSent counts what is sent to a replica in another region. It is called within the node's loop.
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -34,7 +34,7 @@
 // forwardStream relays a series of events, which may be continued at another replica
 // where the route allows it. The head is that of the first replica.
 func (a *Agent) forwardStream(w http.ResponseWriter, x *exchange) {
-	if !x.served(w) || !x.letThrough(w) {
+	if !x.letThrough(w) {
 		return
 	}
 	s := &relayedStream{exchange: x, writer: w, control: http.NewResponseController(w)}
--- a/internal/soak/kept.go
+++ b/internal/soak/kept.go
@@ -23,7 +23,7 @@
 		n := s.pick(random)
 		if random.IntN(4) == 0 {
 			s.check.AtMostOnce(id)
-			s.plainBy(ctx, clients[n], n, "/once/x", id)
+			s.plainBy(ctx, clients[n], n, homedPath, id)
 		} else {
 			s.plainBy(ctx, clients[n], n, "/plain/x", id)
 		}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -73,7 +73,7 @@
 		switch random.IntN(4) {
 		case 0:
 			s.check.AtMostOnce(id)
-			s.plain(ctx, n, "/once/x", id)
+			s.plain(ctx, n, homedPath, id)
 		case 1:
 			answer := s.send(ctx, n, http.MethodPost, "/stream/x", id, nil)
 			if answer.Err == nil && answer.Status == http.StatusOK {
@@ -102,6 +102,9 @@
 
 // plainBy is plain by a client.
 func (s *Soak) plainBy(ctx context.Context, client platformtest.Client, n *node, path, id string) {
+	if path == homedPath {
+		s.homes.bind(id)
+	}
 	calm := s.calmFor() > inTouch
 	body := "body of " + id
 	answer := s.sendBy(ctx, client, n, http.MethodPost, path, id, []byte(body))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,7 @@
 	Say func(format string, values ...any)
 
 	check     *Checker
+	homes     homes
 	store     *platformtest.Store
 	server    *http.Server
 	storeAddr string
@@ -184,7 +185,7 @@
 // configure writes the next configuration; its version names a route of its own.
 func (s *Soak) configure() int64 {
 	version := s.config.Load() + 1
-	s.store.Put("op", "config", platformtest.WithTenants(platformtest.Generation(int(version)), platformtest.Tenant{
+	s.store.Put("op", "config", platformtest.WithTenants(withHomes(platformtest.Generation(int(version))), platformtest.Tenant{
 		Name: tenant, Keys: []string{lastingKey, generationKey(version)},
 	}))
 	s.config.Store(version)
@@ -195,10 +196,11 @@
 	s.mu.Lock()
 	s.named++
 	id := fmt.Sprintf("%s-%d", service, s.named)
+	zone := zoneOfReplica(s.named - 1)
 	s.mu.Unlock()
 	link := &Proxy{}
 	cfg := platformtest.ReplicaConfig{
-		ID: id, Service: service, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
+		ID: id, Service: service, Zone: zone, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
 		Via: func(address string) string {
 			if link.Target != "" {
 				return link.listener.Addr().String()
@@ -211,7 +213,12 @@
 			return listed
 		},
 		CrashOn: poisonBody(service), OnCrash: func(string) { s.crashed(id) },
-		OnRun:    func(request string) { s.check.Ran(id, request) },
+		OnRun: func(request string) {
+			if wrong := s.homes.kept(id, zone, request); wrong != "" {
+				s.check.Violate("%s", wrong)
+			}
+			s.check.Ran(id, request)
+		},
 		OnWhole:  s.check.MadeWhole,
 		OnFailed: s.check.Failed,
 		OnOrder:  s.check.Ordered,
@@ -247,12 +254,12 @@
 	}
 	settings := fmt.Sprintf(`name: %s
 zone: zone-a
-listen: {requests: %q, readiness: %q, metrics: %q}
+%slisten: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
+`, name, regionsOfZones, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
