Requests over two regions: the wait at near replicas counts four times against the way

Cause: with the wait counted once, every load above what the near region bears keeps a queue there that is as long as the way, and all callers wait for it. Ruled out: counting it ten times, which sends requests away from a region with room; weights for the region, which keep requests in queues without end; the scorers alone, which leave a region with room. Measured (played load, one play each): at 1.2 times what the region bears 57.0 ms in the mean before, 36.3 after; at 1.6 times 73.0 and 54.8; at 0.8 times 26.0 and 25.9.

--- a/internal/process/endpoint/region.go
+++ b/internal/process/endpoint/region.go
@@ -12,6 +12,12 @@
 	// alikeDelays is up to where endpoints count as answering equally soon: zones of one region lie
 	// a millisecond or two apart, and the loads that a node knows of are some milliseconds old.
 	alikeDelays = 5 * time.Millisecond
+	// queueCost is how many times the wait for a slot counts against the way: who joins a queue also
+	// delays those who come after. With near replicas asked for 1.2 times what they bear, callers get
+	// answers in the mean after 57.0 ms where it counts once, as a queue as long as the way stands for
+	// good, and after 36.3 ms where it counts four times; at 0.8 times after 26.0 and 25.9 ms, and
+	// after 27.5 ms where it counts ten times (TestPlayedLoadsOverTwoRegions).
+	queueCost = 4
 )
 
 // InHomes drops endpoints outside the regions in which the request must stay.
@@ -29,14 +35,14 @@
 	return 0
 }
 
-// Delay is how much later than from an idle endpoint of the own region an answer is expected: the way
-// there and back, and the wait for a slot, given how long a request runs.
-func Delay(q *Query, e *Endpoint, service time.Duration) time.Duration {
-	delay := q.Away(e.Zone)
+// delay is what it costs, in time, to send a request to an endpoint rather than to an idle one of the
+// own region: the way there and back, and the wait for a slot, given how long a request runs.
+func delay(q *Query, e *Endpoint, service time.Duration) time.Duration {
+	cost := q.Away(e.Zone)
 	if ahead := e.Load(q.Now) - e.Slots; ahead >= 0 {
-		delay += time.Duration(ahead+1) * service / time.Duration(max(e.Slots, 1))
+		cost += queueCost * time.Duration(ahead+1) * service / time.Duration(max(e.Slots, 1))
 	}
-	return delay
+	return cost
 }
 
 // serviceTime returns how long a request runs, by the endpoint that answers fastest: the latencies of
@@ -55,9 +61,9 @@
 	return service
 }
 
-// soonest returns the candidates from which the caller is expected to have its answer soonest. So the
-// near region serves while it has a free slot, and gives way once its queues cost a caller more than
-// the way to another: at six slots, 25 ms a request and 40 ms of way, from 14 requests each on
+// soonest returns the candidates from which callers are expected to have their answers soonest. So the
+// near region serves while it has a free slot, and gives way once its queues cost callers more than the
+// way to another: at six slots, 25 ms a request and 40 ms of way, with 8 requests each
 // (TestRequestsSpillByWhatTheCallerGets).
 func soonest(q *Query, candidates []*Endpoint) []*Endpoint {
 	if q.Away == nil || len(candidates) == 0 {
@@ -66,7 +72,7 @@
 	service := serviceTime(q, candidates)
 	delays := make([]time.Duration, len(candidates))
 	for i, one := range candidates {
-		delays[i] = Delay(q, one, service)
+		delays[i] = delay(q, one, service)
 	}
 	bound := slices.Min(delays) + alikeDelays
 	var kept []*Endpoint
