Steps that no replica in their homes may make are refused at once

Cause: the pull of such a step was held until its wait was over, and answered as not whole yet. Change: after a job that was not taken, the trainer is told if no replica lies where it must stay. A job that stands already is read as before. Measured: TestStepsStayInTheirHomes passes, and fails with the new look taken out.

--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -47,6 +47,11 @@
 			defer a.mu.Unlock()
 			return a.node.Operators()
 		},
+		Served: func(job *doorstepv1.BatchJob) bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.node.Served(a.node.Route(job.Host, job.Path), job.Tenant)
+		},
 		Route: func(service string, kind port.RouteKind) *port.Route {
 			a.mu.Lock()
 			defer a.mu.Unlock()
--- a/internal/version/experiment/steps.go
+++ b/internal/version/experiment/steps.go
@@ -58,6 +58,8 @@
 	Configuration func() *doorstepv1.Configuration
 	// Route returns the route of a kind that goes to a service, nil if there is none.
 	Route func(service string, kind port.RouteKind) *port.Route
+	// Served reports whether a replica lies in the regions in which a job must stay; nil for always.
+	Served func(job *doorstepv1.BatchJob) bool
 	// Targets decodes and encodes the newest version that was named for a model.
 	Targets Targets
 	// Describe returns the header of a request for a rollout.
@@ -163,10 +165,13 @@
 		return nil, Reply{Status: NotReady, Reason: fmt.Sprintf("prompt set %q is empty or missing", draw.Prompts)}, true
 	}
 	job = Job(step, draw, prompts, s.Describe)
-	if !s.Jobs.Accept(ctx, job) {
-		return nil, Reply{}, false
+	if s.Jobs.Accept(ctx, job) {
+		return job, Reply{}, true
+	}
+	if s.Served != nil && !s.Served(job) {
+		return nil, Reply{Status: Unavailable, Reason: "no replica in the regions that the step must stay in"}, true
 	}
-	return job, Reply{}, true
+	return nil, Reply{}, false
 }
 
 // runAheadWeight is the idle_weight from which a step is drawn while its trainer trains on
