Homes that narrow bind requests that are under way

Cause: a stream keeps the route by which it came, so it could be continued in a region that the configuration forbids by then. Change: the route's older and newer homes both bind; routes are found by name without a search.

--- a/internal/version/routes/homes.go
+++ b/internal/version/routes/homes.go
@@ -3,26 +3,22 @@
 import "github.com/doorstep/doorstep/internal/port"
 
 // Homes returns the regions in which requests of a route and a tenant may be served and kept; both
-// bind. The route may be nil, the tenant empty.
+// bind. The route may be nil, the tenant empty. For a request that came by the route of an older
+// version, what this version says of that route binds as well.
 func (t *Table) Homes(route *port.Route, tenant string) port.Homes {
 	homes := t.homes[tenant]
-	if route != nil {
-		homes = homes.And(port.NewHomes(route.AllowedRegions))
+	if route == nil {
+		return homes
+	}
+	homes = homes.And(port.NewHomes(route.AllowedRegions))
+	if newer := t.Named(route.Name); newer != nil && newer != route {
+		homes = homes.And(port.NewHomes(newer.AllowedRegions))
 	}
 	return homes
 }
 
 // Named returns the route of a name, nil when there is none.
-func (t *Table) Named(name string) *port.Route {
-	for _, list := range t.byHost {
-		for _, route := range list {
-			if route.Name == name {
-				return route
-			}
-		}
-	}
-	return nil
-}
+func (t *Table) Named(name string) *port.Route { return t.byName[name] }
 
 // homesByTenant returns the homes of the tenants that name some.
 func homesByTenant(tenants []port.Tenant) map[string]port.Homes {
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -15,6 +15,7 @@
 type Table struct {
 	version  int64
 	byHost   map[string][]*port.Route
+	byName   map[string]*port.Route
 	services map[string]port.Service
 	limits   port.IngressLimits
 	// tenants maps the digests of API keys to the names of their tenants, nil where no
@@ -26,11 +27,12 @@
 
 // New prepares a version of the configuration.
 func New(from *port.RouteTable) *Table {
-	table := &Table{version: from.Version, byHost: map[string][]*port.Route{}, services: map[string]port.Service{}, limits: from.Limits}
+	table := &Table{version: from.Version, byHost: map[string][]*port.Route{}, byName: map[string]*port.Route{}, services: map[string]port.Service{}, limits: from.Limits}
 	for i := range from.Routes {
 		route := &from.Routes[i]
 		host := normalHost(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
+		table.byName[route.Name] = route
 	}
 	for _, list := range table.byHost {
 		slices.SortStableFunc(list, func(a, b *port.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
