--- a/internal/process/agent/cold.go
+++ b/internal/process/agent/cold.go
@@ -25,7 +25,7 @@
 	done := make(chan struct{})
 	claimed := false
 	x.agent.do(func(now time.Time) {
-		claimed = x.agent.node.ClaimCold(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude,
+		claimed = x.agent.node.ClaimCold(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude,
 			func() bool { return !left && x.request.Context().Err() == nil },
 			func(now time.Time, found *endpoint.Endpoint, comeBack time.Duration) {
 				if left {
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -84,7 +84,7 @@
 		if quarantined {
 			return
 		}
-		chosen = x.agent.node.Choose(now, x.route, x.agent.protocol.Model(x.request.Header), x.exclude)
+		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude)
 		x.noteChosen(now, chosen)
 		if chosen == nil && x.agent.node.AllEvacuated(x.route) {
 			x.relay.Evacuated()
@@ -106,6 +106,7 @@
 	chosen.UsedAt = now
 	x.sendBy = chosen.SendBy
 	x.exclude[chosen.ID] = true
+	x.agent.noteSent(sentRequest, chosen.ID)
 	x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
 }
 
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -68,7 +68,7 @@
 	_, _ = w.Write(ended.body)
 	took := x.agent.since(x.started)
 	x.agent.metrics.answer(x.route, ended.status, took)
-	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status,
+	x.agent.log.add(event.RequestAnswered, "request", x.id, "replica", ended.endpoint.ID, "region", ended.endpoint.Region, "status", ended.status,
 		"attempts", x.launched, "replicas", strings.Join(x.tried, " "), "took_ms", took.Milliseconds(), "route", x.route.Name)
 }
 
--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -260,8 +260,8 @@
 // ClaimCold claims a cold replica for a caller's request for which Choose found none, if the service has
 // such a replica. done is told which one the request is to be sent to, nil with when to come back if
 // there is none; wanted reports then whether the caller still waits.
-func (n *Node) ClaimCold(now time.Time, route *port.Route, model string, exclude map[string]bool, wanted func() bool, done func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)) bool {
-	query := n.query(now)
+func (n *Node) ClaimCold(now time.Time, route *port.Route, tenant, model string, exclude map[string]bool, wanted func() bool, done func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)) bool {
+	query := n.query(now, route, tenant)
 	query.Exclude, query.Model, query.OnlyCold = exclude, model, true
 	for _, service := range n.splitter.Order(route) {
 		bound, ok := n.coldBound(service)
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -51,6 +51,8 @@
 	ColdClaimed          = 742
 	ColdClaimDenied      = 743
 	ColdWindowsCollected = 744
+	JobLeavesRegion      = 750
+	JobUnserved          = 751
 	StoreLost            = 801
 	StoreRegained        = 802
 	RecordUnreadable     = 803
@@ -124,6 +126,8 @@
 	{ColdClaimed, Info, "cold replica claimed", "This node took requests from a cold replica's window; taken says how many all nodes have, until_ms when the window ends by the store's clock."},
 	{ColdClaimDenied, Info, "cold replica not claimed", "No request to a cold replica could be had; wait_ms says when one may be."},
 	{ColdWindowsCollected, Info, "cold windows collected", "The windows of replicas that are gone were deleted from the store."},
+	{JobLeavesRegion, Info, "batch job leaves the region", "A newer configuration keeps the job from this node's region: it is handed over to a node of one of its homes."},
+	{JobUnserved, Warn, "batch job has no replica in its homes", "No replica lies in the regions in which the job must stay; its items wait for one until they may be given up."},
 	{StoreLost, Warn, "record store lost", "A watch of the record store broke; the node goes on with what it knows and reads the table anew."},
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -114,6 +114,8 @@
 func (w *World) startScoring(n *node, life uint64, t task.ScoringCall) {
 	one := &scoringCall{task: t, node: n, life: life}
 	n.calls[t.ID] = one
+	known, _ := w.check.jobOfCall(t.Request)
+	w.check.sentTo(w, n, known, scorerName, t.Request, scorerZone)
 	w.After(t.Limit, func() { one.end(task.ScoringResult{Outcome: relay.Broken, Err: errNoAnswer}) })
 	w.After(callLatency, func() {
 		s := w.scorerAt(t.Address)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,7 @@
 	Say func(format string, values ...any)
 
 	check     *Checker
+	homes     homes
 	store     *platformtest.Store
 	server    *http.Server
 	storeAddr string
@@ -188,7 +189,7 @@
 // configure writes the next configuration; its version names a route of its own.
 func (s *Soak) configure() int64 {
 	version := s.config.Load() + 1
-	s.store.Put("op", "config", platformtest.WithTenants(coldServices(platformtest.Generation(int(version))), platformtest.Tenant{
+	s.store.Put("op", "config", platformtest.WithTenants(withHomes(coldServices(platformtest.Generation(int(version)))), platformtest.Tenant{
 		Name: tenant, Keys: []string{lastingKey, generationKey(version)},
 	}))
 	s.config.Store(version)
@@ -200,10 +201,11 @@
 	s.named++
 	id := fmt.Sprintf("%s-%d", service, s.named)
 	s.mu.Unlock()
+	zone := s.zoneFor(service)
 	link := &Proxy{}
 	cold := &coldReplica{id: id, link: link}
 	cfg := platformtest.ReplicaConfig{
-		ID: id, Service: service, Model: model, Zone: s.zoneFor(service), Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
+		ID: id, Service: service, Model: model, Zone: zone, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
 		Via: func(address string) string {
 			if link.Target != "" {
 				return link.listener.Addr().String()
@@ -217,7 +219,12 @@
 		},
 		CrashOn: poisonBody(service), OnCrash: func(string) { s.crashed(id) },
 		ColdFor: s.coldFor(), OnArrival: func(string) { s.check.coldArrived(cold) },
-		OnRun:    func(request string) { s.check.Ran(id, request) },
+		OnRun: func(request string) {
+			if wrong := s.homes.kept(id, zone, request); wrong != "" {
+				s.check.Violate("%s", wrong)
+			}
+			s.check.Ran(id, request)
+		},
 		OnWhole:  s.check.MadeWhole,
 		OnFailed: s.check.Failed,
 		OnOrder:  s.check.Ordered,
@@ -252,15 +259,16 @@
 	if n.address, err = n.toClients.Listen(); err != nil {
 		return err
 	}
+	zone := zones[len(s.nodes)%len(zones)]
 	settings := fmt.Sprintf(`name: %s
 zone: %s
-listen: {requests: %q, readiness: %q, metrics: %q}
+%slisten: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
 cold: {overshoot: 1.5, slack: 5}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, zones[len(s.nodes)%len(zones)], addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
+`, name, zone, regionsFor(zone), addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -46,4 +46,5 @@
 prove 17-crash-limit crashes-bounded 1..20 item-poison
 prove 18-evacuations evacuations-respected 1..20 zone-evacuated
 prove 19-cold-bound cold-bounded 1..20 replica-cold,zone-cold-return,all-cold
+prove 20-home-regions homes-kept 1..10 homes-change
 exit $failed
