Owners tell where they stand; beats are paced from their sending

Cause: an owner's beat was due 350 ms after the answer to its last write, so that calls of 700 ms put its writes 1,050 ms apart at the store; a node near the store waits 950 ms and its own latencies, and took the job of an owner that lived (the test's figures, shown with the mechanism taken out). A watch counted as having heard of everything after 100 ms, however far the store is. Watches that lost their calls at one moment came back at one: 40 of 40 within 25 ms.

Heads name the owner's zone and its latency to the store, in a write that is made anyway. The spread of take-overs is halved between the owner's region and the others, so that none comes later than before.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 generate:
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=github.com/doorstep/doorstep api/doorstep/v1/operators.proto api/doorstep/v1/batch.proto api/doorstep/v1/usage.proto api/doorstep/v1/quarantine.proto
+	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. --go_opt=module=github.com/doorstep/doorstep api/doorstep/v1/operators.proto api/doorstep/v1/batch.proto api/doorstep/v1/usage.proto api/doorstep/v1/quarantine.proto api/doorstep/v1/place.proto
 
 clean:
 	rm -rf $(BIN)
--- a/internal/process/cluster/clock.go
+++ b/internal/process/cluster/clock.go
@@ -38,14 +38,3 @@
 	least, most, known := c.bounds(at)
 	return (least + most) / 2, known && most-least <= knownWell
 }
-
-// latencyDecay is the part of the longest call that is left with each call after it.
-const latencyDecay = 0.8
-
-// callLatency follows how long calls to the store take: the longest counts, and is
-// forgotten with the calls after it.
-type callLatency struct{ longest time.Duration }
-
-func (l *callLatency) note(took time.Duration) {
-	l.longest = max(took, time.Duration(latencyDecay*float64(l.longest)))
-}
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -107,9 +107,9 @@
 	n.rotation = n.random.Uint64()
 	n.quarantine = quarantine.New(quarantine.Options{Self: options.Name, Queue: n.queue, StoreClock: n.StoreClock})
 	n.jobs = batch.New(batch.Options{
-		Self: options.Name, Incarnation: options.Incarnation, Queue: n.queue, Random: n.random,
+		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
 		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
-		Latency:    func() time.Duration { return n.latency.longest },
+		Latency:    n.Latency,
 		LengthHint: options.Decoder.LengthHint, MostEvents: n.mostEvents, ExpectedTokens: n.expectedTokens, Observed: n.observed,
 		Quarantine: n.quarantine,
 	})
@@ -196,6 +196,7 @@
 	}
 	n.tickDuties(now)
 	n.tickStatus(now)
+	n.tickLatency(now)
 }
 
 // NoteClock takes the store's clock from the answer to a call that was sent at sentAt.
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -47,6 +47,7 @@
 	StoreLost          = 801
 	StoreRegained      = 802
 	RecordUnreadable   = 803
+	StoreDistance      = 805
 	JobAccepted        = 900
 	JobRefused         = 901
 	JobTaken           = 902
@@ -55,6 +56,8 @@
 	JobEnded           = 905
 	JobAssigned        = 906
 	JobCollected       = 907
+	JobGivenNearer     = 908
+	JobTakenAcross     = 909
 	ItemRetried        = 910
 	ItemTerminated     = 911
 	TextDiscarded      = 912
@@ -113,6 +116,7 @@
 	{StoreLost, Warn, "record store lost", "A watch of the record store broke; the node goes on with what it knows and reads the table anew."},
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
+	{StoreDistance, Info, "record store's distance", "What this node holds calls to the record store to take has doubled or halved since it last said so, from 50 ms on."},
 	{JobAccepted, Info, "batch job accepted", "The job stands in the record store; its client was told so."},
 	{JobRefused, Warn, "batch job refused", "The job was not accepted; outcome tells whether it may stand in the store all the same."},
 	{JobTaken, Info, "batch job taken over", "This node runs the job's items from now on; its former owner fell silent or handed it over."},
@@ -121,6 +125,8 @@
 	{JobEnded, Info, "batch job ended", "The client needs no more results."},
 	{JobAssigned, Info, "batch job assigned", "This node runs the job's items from now on: the node that accepted it gave it to the one that runs the model's other jobs."},
 	{JobCollected, Info, "batch job collected", "The records of a job that is over were deleted from the store; age_s says how long after its acceptance."},
+	{JobGivenNearer, Info, "batch job given to a nearer owner", "Calls to the record store take the owner that the job would have had clearly longer than this one."},
+	{JobTakenAcross, Info, "batch job taken over across regions", "The former owner stood in another region; the places and latencies of both are named."},
 	{ItemRetried, Info, "item retried", "A run of an item did not complete; outcome, status and events say why and what is kept."},
 	{ItemTerminated, Warn, "item terminated", "An item was given up; reason says why."},
 	{TextDiscarded, Info, "text discarded", "The text of an item was made by a version that its job does not allow, and is made again."},
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -21,7 +21,8 @@
 	// gatherDecay the part of that pause that is left with each call that is answered.
 	gatherStep  = 80 * time.Millisecond
 	gatherDecay = 0.9
-	// answerWithin is how soon a watch is answered if there was a change before its call.
+	// answerWithin is how soon a watch is answered if there was a change before its call, where
+	// the store is no further away than that.
 	answerWithin = 100 * time.Millisecond
 )
 
@@ -41,6 +42,8 @@
 	Gather, MostGather time.Duration
 	// Jitter, from 0 to 1, spreads the nodes' calls.
 	Jitter float64
+	// Latency returns how long calls to the store take of late; nil where it is near.
+	Latency func() time.Duration
 	// OnList takes the whole table, OnChange records that changed.
 	OnList   func(now time.Time, records []port.Record)
 	OnChange func(now time.Time, records []port.Record)
@@ -102,14 +105,30 @@
 }
 
 // ObservedUntil returns the time up to which changes would have been heard of: until now
-// while a call waits at the store, else until the last answer.
+// while a call waits at the store, else until the last answer. A store that is further away than
+// answerWithin tells of a change that much later: at 600 ms a change that was 300 ms old counted as
+// not made (TestAFarStoreIsHeardOfLater).
 func (w *Watch) ObservedUntil(now time.Time) time.Time {
-	if w.watching && now.Sub(w.sentAt) > answerWithin {
+	latency := w.latency()
+	if !w.watching || now.Sub(w.sentAt) <= max(answerWithin, latency) {
+		return w.answerAt
+	}
+	if latency <= answerWithin {
 		return now
 	}
+	if heard := now.Add(-latency); heard.After(w.answerAt) {
+		return heard
+	}
 	return w.answerAt
 }
 
+func (w *Watch) latency() time.Duration {
+	if w.options.Latency == nil {
+		return 0
+	}
+	return w.options.Latency()
+}
+
 func (w *Watch) list() {
 	w.options.Queue.Add(task.Range{
 		Query: port.RecordRange{Table: w.options.Table, Partition: w.options.Partitions[w.listing], From: w.from},
@@ -177,7 +196,7 @@
 // refused makes the same call later. Nothing was missed: the watch goes on from where it
 // stands, but counts as broken once it has heard nothing for a while.
 func (w *Watch) refused(now time.Time) {
-	w.nextAt = now.Add(w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause)))
+	w.nextAt = now.Add(w.jittered())
 	w.pause = min(2*w.pause, longestPause)
 	if !w.refusing {
 		// Further refusals of the same call say nothing of the pace between two calls: a store
@@ -191,6 +210,12 @@
 	}
 }
 
+// jittered returns the pause before the next try, from half of it to one and a half. All nodes of
+// a region that is cut off lose their calls at one moment, and must not come back at one.
+func (w *Watch) jittered() time.Duration {
+	return w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause))
+}
+
 func (w *Watch) onChanges(now time.Time, result port.RecordResult) {
 	w.busy, w.watching = false, false
 	if result.Status == port.RecordRefused {
@@ -231,7 +256,7 @@
 		w.Tick(now)
 		return
 	}
-	w.nextAt = now.Add(w.pause)
+	w.nextAt = now.Add(w.jittered())
 	w.pause = min(2*w.pause, longestPause)
 	if w.healthy {
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(status), "revision", w.after)
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -97,7 +97,7 @@
 		Owner: owner.name, OwnerIncarnation: owner.incarnation,
 		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
 		AcceptedAtMs: acceptedAt.Milliseconds(), Chunks: int32(len(records)),
-		Model: job.Model, ExpectedTokens: j.expectedTokens(job), Tenant: job.Tenant,
+		Model: job.Model, ExpectedTokens: j.expectedTokens(job), Tenant: job.Tenant, OwnerPlace: j.placeOf(owner),
 	}
 	const perTransaction = transactionBytes / chunkBytes
 	for len(records) > perTransaction {
--- a/internal/version/batch/assign.go
+++ b/internal/version/batch/assign.go
@@ -17,10 +17,21 @@
 
 // assign chooses the owner of a new job: the node that runs the model's other jobs, if it
 // was heard of just now. It alone knows what it has sent to the model's replicas, so that
-// two steps that overlap don't crowd the same ones, and it has connections to them. A wrong
-// guess costs what a dead owner costs: another node takes the job.
+// two steps that overlap don't crowd the same ones, and it has connections to them. Where it is
+// far from the store and another owner is not, that one is chosen (preference.go). A wrong guess
+// costs what a dead owner costs: another node takes the job.
 func (j *Jobs) assign(now time.Time, model string) ownerID {
-	self := ownerID{name: j.options.Self, incarnation: j.options.Incarnation}
+	return j.nearer(now, j.ownerOfModel(now, model))
+}
+
+// self returns this life of this node.
+func (j *Jobs) self() ownerID {
+	return ownerID{name: j.options.Self, incarnation: j.options.Incarnation}
+}
+
+// ownerOfModel returns the node that runs the model's other jobs, this one if there is none.
+func (j *Jobs) ownerOfModel(now time.Time, model string) ownerID {
+	self := j.self()
 	if model == "" || !j.observing {
 		return self
 	}
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -74,8 +74,10 @@
 type Options struct {
 	Self        string
 	Incarnation uint64
-	Queue       *task.Queue
-	Random      *rand.Rand
+	// Topology is where the node stands among zones and regions.
+	Topology port.Topology
+	Queue    *task.Queue
+	Random   *rand.Rand
 	// Place chooses an endpoint, nil when none has room.
 	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
 	// PlaceScoring chooses an endpoint for an item's scoring call that has been to those
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -27,7 +27,7 @@
 	o.wholeAt = o.forecast(now)
 	ready := o.readyItems(now)
 	unsaved := o.unsavedItems()
-	if len(ready) == 0 && len(unsaved) == 0 && now.Sub(o.writtenAt) < beatEvery && !o.handOver {
+	if len(ready) == 0 && len(unsaved) == 0 && now.Sub(o.sentAt) < beatEvery && !o.handOver {
 		return
 	}
 	next := proto.Clone(o.head.BatchJobHead).(*doorstepv1.BatchJobHead)
@@ -52,7 +52,9 @@
 	if o.handOver {
 		next.Owner = ""
 	}
+	next.OwnerPlace = o.jobs.place()
 	o.committing = true
+	o.sentAt = now
 	o.jobs.commitHead(o.id, next, o.head.revision, puts, func(now time.Time, result port.RecordResult) {
 		if result.Status == port.RecordDone {
 			for _, index := range unsaved {
@@ -162,6 +164,8 @@
 		// The head was this node's own after all: its last write took effect.
 		o.writtenAt = now
 	default:
+		// The beat that did not get through is still due.
+		o.sentAt = o.writtenAt
 		o.retryAt = now.Add(o.pause)
 		o.pause = min(2*o.pause, longestPause)
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -13,11 +12,14 @@
 )
 
 const (
-	// beatEvery is how often an owner writes its head when nothing else changes it.
+	// beatEvery is how often an owner writes its head when nothing else changes it, counted from
+	// one sending to the next: an owner whose writes take up to takeoverAfter is not taken for a
+	// silent one. Counted from the answer, the beats of an owner whose calls take 700 ms came 1,050
+	// ms apart (TestBeatsArePacedFromTheirSending).
 	beatEvery = 350 * time.Millisecond
 	// takeoverAfter is how long a head must stand unchanged before another node takes
 	// the job, longer by latencies of the store, as an owner's beats come that much
-	// later; takeoverSpread spreads the nodes that would.
+	// later; takeoverSpread spreads the nodes that would (preference.go).
 	takeoverAfter  = 950 * time.Millisecond
 	latencies      = 4
 	takeoverSpread = 250 * time.Millisecond
@@ -45,8 +47,10 @@
 	committing bool
 	begunAt    time.Time
 	writtenAt  time.Time
-	retryAt    time.Time
-	pause      time.Duration
+	// sentAt is when the head was last sent to the store.
+	sentAt  time.Time
+	retryAt time.Time
+	pause   time.Duration
 	// startAfter is when items may start.
 	startAfter time.Time
 	// openRuns counts runs whose end is still to come.
@@ -92,7 +96,7 @@
 	if known.Owner == j.options.Self {
 		return true
 	}
-	spread := time.Duration(xxhash.Sum64String(id+"/"+j.options.Self) % uint64(takeoverSpread))
+	spread := j.takeoverSpread(id, known.BatchJobHead)
 	unchanged := now.Sub(known.changedAt)
 	if known.Owner == "" {
 		return unchanged >= spread/2
@@ -108,7 +112,9 @@
 	next := proto.Clone(known.BatchJobHead).(*doorstepv1.BatchJobHead)
 	next.Owner = j.options.Self
 	next.OwnerIncarnation = j.options.Incarnation
+	next.OwnerPlace = j.place()
 	next.Beat++
+	formerPlace := known.OwnerPlace
 	j.commitHead(id, next, known.revision, nil, func(now time.Time, result port.RecordResult) {
 		known.mutating = false
 		known.nextTry = now.Add(longestPause)
@@ -116,6 +122,7 @@
 			return
 		}
 		j.options.Queue.Log(event.JobTaken, "job", id, "former", former, "listed", next.Listed, "total", next.Total)
+		j.logAcross(id, former, formerPlace)
 		j.load(now, id, known, former)
 	})
 }
@@ -150,7 +157,7 @@
 	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
-		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, begunAt: now, writtenAt: now, pause: firstPause,
+		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, begunAt: now, writtenAt: now, sentAt: now, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
 	owned.prepare(now)
--- /dev/null
+++ b/internal/version/batch/preference_test.go
@@ -0,0 +1,151 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// twoRegions is the topology of a node in a zone of two regions.
+func twoRegions(zone string) port.Topology {
+	regions := map[string]string{"near-1": "near", "near-2": "near", "far-1": "far", "far-2": "far"}
+	return port.Topology{Zone: zone, Region: regions[zone], Regions: regions}
+}
+
+// TestNearerOwner gives a new job to an owner near the store where the one that it would have had
+// is clearly farther; a is the node that accepts it.
+func TestNearerOwner(t *testing.T) {
+	open := func(model, owner string, latency int32) *doorstepv1.BatchJobHead {
+		return &doorstepv1.BatchJobHead{Model: model, Owner: owner, OwnerIncarnation: 7, Total: 5, OwnerPlace: &doorstepv1.OwnerPlace{Zone: "far-1", StoreLatencyMs: latency}}
+	}
+	busy, ended := open("n", "b", 4), open("n", "b", 4)
+	busy.Total = ownerItems + 1
+	ended.Ended = true
+	untold := open("m", "c", 0)
+	untold.OwnerPlace = nil
+	for _, c := range []struct {
+		name string
+		// own is how long this node's calls to the store take.
+		own   time.Duration
+		heads []*doorstepv1.BatchJobHead
+		// age is for how long the heads stand unchanged.
+		age  time.Duration
+		want string
+	}{
+		{"a region away: the way of a hand-over is as long", 45 * time.Millisecond, []*doorstepv1.BatchJobHead{open("n", "b", 4)}, 0, "a"},
+		{"behind a full link", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{open("n", "b", 4)}, 0, "b"},
+		{"behind a full link, with nobody near", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{open("n", "b", 350)}, 0, "a"},
+		{"the nearest of several", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{open("n", "c", 40), open("n", "b", 4), open("n", "d", 90)}, 0, "b"},
+		{"one near that was not heard of lately", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{open("n", "b", 4)}, freshOwner + time.Millisecond, "a"},
+		{"one near that has enough", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{busy}, 0, "a"},
+		{"one near whose job has ended", 400 * time.Millisecond, []*doorstepv1.BatchJobHead{ended}, 0, "a"},
+		{"the model's owner is behind a full link, this node is not", 4 * time.Millisecond, []*doorstepv1.BatchJobHead{open("m", "b", 400)}, 0, "a"},
+		{"the model's owner is a region away, this node is not", 4 * time.Millisecond, []*doorstepv1.BatchJobHead{open("m", "b", 45)}, 0, "b"},
+		{"the model's owner does not tell its place", 4 * time.Millisecond, []*doorstepv1.BatchJobHead{untold, open("n", "b", 4)}, 0, "c"},
+	} {
+		b := newBench("a", newStore())
+		b.latency = c.own
+		for i, one := range c.heads {
+			b.jobs.setHead(b.now, string(rune('p'+i)), one, int64(i+1))
+		}
+		if got := b.jobs.assign(b.now.Add(c.age), "m"); got.name != c.want {
+			t.Errorf("%s: given to %s, should be %s", c.name, got.name, c.want)
+		}
+	}
+}
+
+// TestHeadsTellTheOwnersPlace: the head tells where its owner stands, also once another has taken
+// the job.
+func TestHeadsTellTheOwnersPlace(t *testing.T) {
+	store := newStore()
+	owner, other := newBench("a", store), newBench("b", store)
+	owner.jobs.options.Topology, other.jobs.options.Topology = twoRegions("far-1"), twoRegions("near-1")
+	owner.latency, other.latency = 45*time.Millisecond, 4*time.Millisecond
+	owner.accept(newJob("j", 1))
+	if place := owner.jobs.heads["j"].OwnerPlace; place.GetZone() != "far-1" || place.GetStoreLatencyMs() != 45 {
+		t.Errorf("accepted at %v", place)
+	}
+	other.now = owner.now
+	share(other)
+	other.pass(2 * time.Second)
+	if place := other.jobs.heads["j"].OwnerPlace; place.GetZone() != "near-1" || place.GetStoreLatencyMs() != 4 {
+		t.Errorf("taken over at %v", place)
+	}
+}
+
+// TestTakeoverWithinTheRegionFirst: every node of the silent owner's region would take its job
+// before any of another region, and these no later than without regions.
+func TestTakeoverWithinTheRegionFirst(t *testing.T) {
+	state := &doorstepv1.BatchJobHead{Owner: "o", OwnerPlace: &doorstepv1.OwnerPlace{Zone: "far-1"}}
+	drawn := func(topology port.Topology, state *doorstepv1.BatchJobHead) (least, most time.Duration) {
+		least = time.Hour
+		for i := range 200 {
+			b := newBench(fmt.Sprintf("node-%d", i), newStore())
+			b.jobs.options.Topology = topology
+			spread := b.jobs.takeoverSpread("j", state)
+			least, most = min(least, spread), max(most, spread)
+		}
+		return least, most
+	}
+	_, within := drawn(twoRegions("far-2"), state)
+	across, last := drawn(twoRegions("near-1"), state)
+	if within >= across || last >= takeoverSpread {
+		t.Errorf("within the region by %s, across from %s to %s", within, across, last)
+	}
+	for name, topology := range map[string]port.Topology{"one region": {Zone: "far-1"}, "another zone of one region": {Zone: "z"}} {
+		if least, most := drawn(topology, state); least > takeoverSpread/10 || most < takeoverSpread*9/10 {
+			t.Errorf("%s: spread from %s to %s", name, least, most)
+		}
+	}
+	if least, most := drawn(twoRegions("near-1"), &doorstepv1.BatchJobHead{Owner: "o"}); least > takeoverSpread/10 || most < takeoverSpread*9/10 {
+		t.Errorf("an owner whose place is not told: spread from %s to %s", least, most)
+	}
+}
+
+// TestBeatsArePacedFromTheirSending: writes that are under way for 700 ms reach the store no
+// further apart than another node waits. With beats paced from the answer they came 1,050 ms apart,
+// and a node near the store took the job of an owner that lived.
+func TestBeatsArePacedFromTheirSending(t *testing.T) {
+	const oneWay = 350 * time.Millisecond
+	b := newBench("a", newStore())
+	b.accept(newJob("j", 1))
+	began := b.now
+	var writtenAt []time.Time
+	var answers []task.Later
+	for b.now.Sub(began) < 10*time.Second {
+		b.jobs.Tick(b.now)
+		for _, one := range b.queue.Take() {
+			commit, ok := one.(task.Commit)
+			if !ok {
+				continue
+			}
+			answers = append(answers, task.Later{After: b.now.Add(oneWay).Sub(began), Do: func(now time.Time) {
+				result := b.store.Commit(now, commit.Transaction)
+				writtenAt = append(writtenAt, now)
+				answers = append(answers, task.Later{After: now.Add(oneWay).Sub(began), Do: func(now time.Time) { commit.Done(now, result) }})
+			}})
+		}
+		due := answers
+		answers = nil
+		for _, one := range due {
+			if b.now.Sub(began) < one.After {
+				answers = append(answers, one)
+				continue
+			}
+			one.Do(b.now)
+		}
+		b.now = b.now.Add(25 * time.Millisecond)
+	}
+	for i := 1; i < len(writtenAt); i++ {
+		if apart := writtenAt[i].Sub(writtenAt[i-1]); apart >= takeoverAfter {
+			t.Fatalf("beats %d and %d reach the store %s apart", i, i+1, apart)
+		}
+	}
+	if len(writtenAt) < 10 {
+		t.Errorf("%d beats in ten seconds", len(writtenAt))
+	}
+}
