Simulator: two regions that lie apart, cut off, one-way cut or slow

The store's and replicas' calls take FarRegion longer each way between the regions. Two faults (region-cut, region-slow) and a check: a job is not taken from an owner that has run it for a second and whose writes reach the store.

--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -60,7 +60,7 @@
 	w.replicas = append(w.replicas, r)
 	r.list()
 	w.Every(beatEvery, func() bool {
-		if r.up {
+		if _, lost := w.link.way(r.zone, storeZone); r.up && !lost {
 			r.list()
 		}
 		return r.up
@@ -102,7 +102,7 @@
 
 // drain announces that the replica leaves; it serves on for a while.
 func (r *replica) drain() {
-	if !r.up || !r.drainedAt.IsZero() {
+	if _, lost := r.world.link.way(r.zone, storeZone); !r.up || !r.drainedAt.IsZero() || lost {
 		return
 	}
 	r.drainedAt = r.world.Now
@@ -137,13 +137,17 @@
 func (w *World) startRun(n *node, life uint64, t task.Run) {
 	one := &run{task: t, node: n, life: life, replica: w.at(t.Address), model: t.Header.Get("model")}
 	n.runs[t.ID] = one
-	w.After(callLatency, func() {
+	longer, lost := time.Duration(0), false
+	if one.replica != nil {
+		longer, lost = w.link.way(n.zone, one.replica.zone)
+	}
+	w.After(callLatency+longer, func() {
 		r := one.replica
 		switch {
 		case one.ended:
 		case r == nil || r.ID != t.Replica:
 			one.end(task.RunRefused)
-		case r.dark > 0:
+		case r.dark > 0 || lost:
 			w.After(t.FirstWithin, func() { one.end(task.RunSilent) })
 		default:
 			w.check.arrived(w, one)
@@ -195,7 +199,7 @@
 		case w.Now.Sub(lastAt) >= silence:
 			one.end(task.RunInterrupted)
 			return
-		case r.dark > 0 || r.Pausing(w.Now, one.model):
+		case r.dark > 0 || w.link.cut(r.zone, one.node.zone) || r.Pausing(w.Now, one.model):
 			one.next(id, lastAt)
 			return
 		case r.breaking > 0 && w.random.IntN(30) == 0:
@@ -243,7 +247,11 @@
 		}
 	}
 	n, life := one.node, one.life
-	n.world.After(callLatency, func() {
+	longer := time.Duration(0)
+	if one.replica != nil {
+		longer, _ = n.world.link.way(one.replica.zone, n.zone)
+	}
+	n.world.After(callLatency+longer, func() {
 		n.do(life, func(now time.Time) {
 			delete(n.runs, one.task.ID)
 			one.task.Done(now, task.RunResult{Outcome: outcome, Events: one.events, Crashed: one.crashed})
@@ -254,9 +262,10 @@
 // order carries an order to a replica. It may be under way for long, within its limit, and
 // it may be carried out late and unanswered.
 func (w *World) order(n *node, t task.Order, done func(status port.VersionOrderStatus)) {
-	underWay := callLatency
+	longer, lost := w.wayTo(n, t.Order.Address)
+	underWay := callLatency + longer
 	if w.operator.slowOrders > 0 {
-		underWay = time.Duration(w.random.Int64N(int64(answerTimeout)))
+		underWay = longer + time.Duration(w.random.Int64N(int64(answerTimeout)))
 	}
 	if underWay > t.Limit {
 		w.After(t.Limit, func() { done(port.VersionOrderUnknown) })
@@ -264,7 +273,7 @@
 	}
 	w.After(underWay, func() {
 		r := w.at(t.Order.Address)
-		if r == nil || r.dark > 0 {
+		if r == nil || r.dark > 0 || lost {
 			w.After(answerTimeout, func() { done(port.VersionOrderUnknown) })
 			return
 		}
@@ -277,10 +286,23 @@
 			return
 		}
 		status := r.Order(w.Now, t.Order)
-		w.After(callLatency, func() { done(status) })
+		if back, lost := w.link.way(r.zone, n.zone); lost {
+			w.After(answerTimeout, func() { done(port.VersionOrderUnknown) })
+		} else {
+			w.After(callLatency+back, func() { done(status) })
+		}
 	})
 }
 
+// wayTo returns the way of a node's message to the replica at an address.
+func (w *World) wayTo(n *node, address string) (longer time.Duration, lost bool) {
+	r := w.at(address)
+	if r == nil {
+		return 0, false
+	}
+	return w.link.way(n.zone, r.zone)
+}
+
 // carryOutLate carries an order out that was left unanswered, at whatever replica has the
 // address by then.
 func (w *World) carryOutLate(order port.OrderVersion) {
@@ -295,12 +317,13 @@
 }
 
 // ask brings a replica's report, some time old.
-func (w *World) ask(_ *node, t task.Report, done func(report port.ReplicaReport)) {
+func (w *World) ask(n *node, t task.Report, done func(report port.ReplicaReport)) {
 	r := w.at(t.Address)
-	if r == nil || r.dark > 0 || r.ID != t.Replica {
+	longer, lost := w.wayTo(n, t.Address)
+	if r == nil || r.dark > 0 || lost || r.ID != t.Replica {
 		w.After(answerTimeout, func() { done(port.ReplicaReport{}) })
 		return
 	}
 	report := r.Report(w.Now)
-	w.After(callLatency, func() { done(report) })
+	w.After(callLatency+2*longer, func() { done(report) })
 }
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -15,6 +15,7 @@
 
 const (
 	scorerName    = "scorer"
+	scorerZone    = "zone-0"
 	scorerCount   = 3
 	scorerSlots   = 4
 	scoringTime   = 30 * time.Millisecond
@@ -50,7 +51,7 @@
 // list writes the scorer's record.
 func (s *scorer) list() {
 	value, err := json.Marshal(port.ReplicaRecord{
-		ID: s.id, Service: scorerName, Address: s.address, Zone: "zone-0", Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
+		ID: s.id, Service: scorerName, Address: s.address, Zone: scorerZone, Slots: scorerSlots, Draining: !s.drainedAt.IsZero(),
 	})
 	if err != nil {
 		panic("a scorer must encode: " + err.Error())
@@ -114,10 +115,11 @@
 	one := &scoringCall{task: t, node: n, life: life}
 	n.calls[t.ID] = one
 	w.After(t.Limit, func() { one.end(task.ScoringResult{Outcome: relay.Broken, Err: errNoAnswer}) })
-	w.After(callLatency, func() {
+	longer, lost := w.link.way(n.zone, scorerZone)
+	w.After(callLatency+longer, func() {
 		s := w.scorerAt(t.Address)
 		switch {
-		case one.ended:
+		case one.ended || lost:
 		case s == nil:
 			one.end(task.ScoringResult{Outcome: relay.Refused, Err: errNoAnswer})
 		case s.dark > 0:
@@ -172,7 +174,8 @@
 	}
 	one.ended = true
 	n, life := one.node, one.life
-	n.world.After(callLatency, func() {
+	longer, _ := n.world.link.way(scorerZone, n.zone)
+	n.world.After(callLatency+longer, func() {
 		n.do(life, func(now time.Time) {
 			delete(n.calls, one.task.ID)
 			one.task.Done(now, result)
--- a/internal/simulation/clustersim/store.go
+++ b/internal/simulation/clustersim/store.go
@@ -24,10 +24,14 @@
 	// counts of the faults that are on.
 	silent, refusing, slow, losing, partly int
 	troubledAt                             time.Time
+	// calls counts those that reached the store, by the second since the epoch.
+	calls map[int]int
 }
 
+func (s *store) count(now time.Time) { s.calls[int(now.Sub(epoch)/time.Second)]++ }
+
 func newStore(w *World) *store {
-	return &store{world: w, records: model.NewRecords(w.Now, model.RecordsOptions{
+	return &store{world: w, calls: map[int]int{}, records: model.NewRecords(w.Now, model.RecordsOptions{
 		WritesPerSecond: 800, ReadsPerSecond: 2000, History: 20 * time.Second,
 	})}
 }
@@ -76,10 +80,16 @@
 		w.After(callLatency, func() { answer(port.RecordResult{Status: port.RecordRefused}) })
 		return
 	}
-	w.After(s.latency(), func() {
+	out, lost := w.link.way(n.zone, storeZone)
+	if lost {
+		return
+	}
+	w.After(s.latency()+out, func() {
+		s.count(w.Now)
 		result := do(w.Now)
-		w.After(s.latency(), func() {
-			if !s.unreachable(n) {
+		back, lost := w.link.way(storeZone, n.zone)
+		w.After(s.latency()+back, func() {
+			if !lost && !s.unreachable(n) {
 				answer(result)
 			}
 		})
--- a/internal/simulation/clustersim/usage.go
+++ b/internal/simulation/clustersim/usage.go
@@ -87,7 +87,8 @@
 // report takes a call of a node; the answer may be lost, and the call be carried out late.
 func (p *dutyPlatform) report(n *node, t task.ReportUsage, answer func(status port.DutyStatus)) {
 	w := p.world
-	if n.cut > 0 {
+	longer, lost := w.link.way(n.zone, storeZone)
+	if n.cut > 0 || lost {
 		w.After(t.Limit, func() { answer(port.DutyUnknown) })
 		return
 	}
@@ -96,9 +97,9 @@
 		w.After(t.Limit, func() { answer(port.DutyUnknown) })
 		return
 	}
-	w.After(callLatency, func() {
+	w.After(callLatency+longer, func() {
 		status := p.take(n, t.Report)
-		w.After(callLatency, func() { answer(status) })
+		w.After(callLatency+longer, func() { answer(status) })
 	})
 }
 
@@ -159,7 +160,7 @@
 	w := p.world
 	calm := w.store.stable(w.Now) && p.losing == 0
 	for _, one := range w.nodes {
-		calm = calm && one.up && !one.stopping && one.cut == 0 && !w.Now.Before(one.frozenUntil)
+		calm = calm && one.up && !one.stopping && one.cut == 0 && !w.Now.Before(one.frozenUntil) && !w.link.troubled(one.zone)
 	}
 	return calm
 }
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -41,6 +41,9 @@
 	// Unfenced replicas take orders of any fence: what holds two holders apart is time and
 	// the count of orders alone.
 	Unfenced bool
+	// FarRegion is how much longer than within a region a message between the two regions is under
+	// way; the record store stands in one of them.
+	FarRegion time.Duration
 	// Log, unless nil, takes what nodes log, by the record store's clock.
 	Log func(node string, clock time.Duration, number int, fields []any)
 }
@@ -58,6 +61,8 @@
 	operator *operator
 	duties   *dutyPlatform
 	check    *checker
+	link     *link
+	owners   *owners
 	faulty   bool
 	faults   map[string]int
 }
@@ -71,6 +76,8 @@
 		options: options, Clock: virtual.Clock{Now: epoch}, random: rand.New(rand.NewPCG(options.Seed, 1)),
 		check: newChecker(), faults: map[string]int{},
 	}
+	w.link = &link{world: w}
+	w.owners = &owners{world: w, now: map[string]ownership{}}
 	w.store = newStore(w)
 	w.operator = newOperator(w)
 	w.duties = newDutyPlatform(w)
@@ -131,11 +138,14 @@
 	Reads      int
 	// Windows counts the reports of use that were taken, ExactWindows those that had to be exact.
 	Windows, ExactWindows int
+	// Taken counts the jobs taken over from owners that did not hand them over, LeasesLost the
+	// leases that were lost.
+	Taken, LeasesLost int
 }
 
 func (w *World) report() Report {
 	report := Report{Violations: w.check.violations, Faults: w.faults, Results: w.check.resultCount, Orders: w.check.orderCount, Scores: w.check.scoreCount, Reads: w.check.readCount,
-		Windows: len(w.duties.accepted), ExactWindows: w.duties.exact}
+		Windows: len(w.duties.accepted), ExactWindows: w.duties.exact, Taken: w.owners.taken, LeasesLost: w.owners.lost}
 	for _, job := range w.check.jobs {
 		report.Jobs++
 		if job.acceptedAt != (time.Time{}) {
@@ -239,6 +249,11 @@
 
 // healthy reports whether the node was in touch with everything for a while.
 func (n *node) healthy(now time.Time) bool {
+	return !n.world.link.troubled(n.zone) && n.untroubled(now)
+}
+
+// untroubled is healthy, whatever the link between the regions is like.
+func (n *node) untroubled(now time.Time) bool {
 	const inTouch = 3 * time.Second
 	return n.up && n.cut == 0 && !now.Before(n.frozenUntil) && now.Sub(n.troubledAt) > inTouch && n.world.store.stable(now)
 }
@@ -295,6 +310,7 @@
 	case task.Later:
 		w.After(t.After, func() { back(t.Do) })
 	case task.Log:
+		w.owners.logged(n, t.Event, t.Fields)
 		if w.options.Log != nil {
 			w.options.Log(n.name, w.Now.Sub(epoch), t.Event, t.Fields)
 		}
