--- a/internal/simulation/clustersim/region_test.go
+++ b/internal/simulation/clustersim/region_test.go
@@ -40,3 +40,31 @@
 		})
 	}
 }
+
+// most returns the most calls of a second from one to before another.
+func most(calls map[int]int, from, to int) int {
+	peak := 0
+	for second := from; second < to; second++ {
+		peak = max(peak, calls[second])
+	}
+	return peak
+}
+
+// TestRegionReturns cuts the far region of a deployment of 87 nodes off for ten seconds: its jobs
+// are taken over, each once, and its return makes no storm of calls to the store.
+func TestRegionReturns(t *testing.T) {
+	t.Parallel()
+	const calmFrom, cutAt, backAt, until = 6, 12, 22, 30
+	w := New(Options{Seed: 5, Nodes: 87, Replicas: 12, Length: until * time.Second, FarRegion: 20 * time.Millisecond})
+	w.After(cutAt*time.Second, func() {
+		w.link.begin((backAt-cutAt)*time.Second, func() { w.link.noneOut++; w.link.noneIn++ }, func() { w.link.noneOut--; w.link.noneIn-- })
+	})
+	got := w.Run()
+	report(t, 5, got)
+	s := w.store
+	for name, calls := range map[string]map[int]int{"reads": s.reads, "writes": s.writes, "watches": s.watches} {
+		calm, back := most(calls, calmFrom, cutAt), most(calls, backAt, until)
+		t.Logf("%s: %d a second at the most in calm, %d after the return", name, calm, back)
+	}
+	t.Logf("%d jobs taken over, %d of %d accepted", got.Taken, got.Accepted, got.Jobs)
+}
