--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -210,8 +210,10 @@
 	}
 }
 
-// jittered returns the pause before the next try, from half of it to one and a half. All nodes of
-// a region that is cut off lose their calls at one moment, and must not come back at one.
+// jittered returns the pause before the next try, from half of it to one and a half. Nodes whose
+// connections are reset at one moment lose their calls at one, and without jitter came back at one
+// for good (40 of 40 within 25 ms, TestNodesComeBackApart). Calls that get no answer end at times
+// of their own: a silent region's return is spread either way.
 func (w *Watch) jittered() time.Duration {
 	return w.pause/2 + time.Duration(w.options.Jitter*float64(w.pause))
 }
--- a/internal/simulation/clustersim/region.go
+++ b/internal/simulation/clustersim/region.go
@@ -116,6 +116,8 @@
 	now   map[string]ownership
 	// taken counts take-overs from owners that did not hand the job over, lost the leases lost.
 	taken, lost int
+	// takes counts the take-overs by job.
+	takes map[string]int
 }
 
 func field(fields []any, name string) any {
@@ -140,6 +142,7 @@
 	case event.JobTaken:
 		if former, _ := field(fields, "former").(string); former != "" && former != n.name {
 			o.taken++
+			o.takes[job]++
 			o.judge(n, former, job)
 		}
 		o.begin(n, job)
--- a/internal/simulation/clustersim/region_test.go
+++ b/internal/simulation/clustersim/region_test.go
@@ -50,21 +50,42 @@
 	return peak
 }
 
-// TestRegionReturns cuts the far region of a deployment of 87 nodes off for ten seconds: its jobs
-// are taken over, each once, and its return makes no storm of calls to the store.
+// TestRegionReturns cuts the far region of a deployment of 87 nodes, 29 of them there, off for ten
+// seconds: its jobs are taken over, each once, and its return makes no storm of calls to the store. Each
+// node that returns reads its tables anew, 15 parts of them; all at once they may do so within one
+// second. Over five seeds the busiest second had 204 to 580 reads (94 to 180 in calm) and 107 to 197
+// writes (88 to 93).
 func TestRegionReturns(t *testing.T) {
 	t.Parallel()
-	const calmFrom, cutAt, backAt, until = 6, 12, 22, 30
-	w := New(Options{Seed: 5, Nodes: 87, Replicas: 12, Length: until * time.Second, FarRegion: 20 * time.Millisecond})
+	const (
+		calmFrom, cutAt, backAt, until = 6, 12, 22, 30
+		farNodes, parts                = 29, 15
+		seed                           = 5
+	)
+	w := New(Options{Seed: seed, Nodes: 87, Replicas: 12, Length: until * time.Second, FarRegion: 20 * time.Millisecond})
 	w.After(cutAt*time.Second, func() {
 		w.link.begin((backAt-cutAt)*time.Second, func() { w.link.noneOut++; w.link.noneIn++ }, func() { w.link.noneOut--; w.link.noneIn-- })
 	})
 	got := w.Run()
-	report(t, 5, got)
+	report(t, seed, got)
 	s := w.store
-	for name, calls := range map[string]map[int]int{"reads": s.reads, "writes": s.writes, "watches": s.watches} {
-		calm, back := most(calls, calmFrom, cutAt), most(calls, backAt, until)
-		t.Logf("%s: %d a second at the most in calm, %d after the return", name, calm, back)
+	for _, c := range []struct {
+		name  string
+		calls map[int]int
+		// more is by how many calls a second may exceed the busiest of the calm.
+		more int
+	}{{"reads", s.reads, farNodes * parts}, {"writes", s.writes, 5 * farNodes}, {"watches", s.watches, 5 * farNodes}} {
+		calm, back := most(c.calls, calmFrom, cutAt), most(c.calls, backAt, until)
+		if back > calm+c.more {
+			t.Errorf("%s: %d in the busiest second after the return, %d in calm", c.name, back, calm)
+		}
+	}
+	for job, takes := range w.owners.takes {
+		if takes > 1 {
+			t.Errorf("%s was taken over %d times", job, takes)
+		}
+	}
+	if got.Taken == 0 || got.Accepted < got.Jobs {
+		t.Errorf("%d jobs taken over from the region that is cut off, %d of %d accepted", got.Taken, got.Accepted, got.Jobs)
 	}
-	t.Logf("%d jobs taken over, %d of %d accepted", got.Taken, got.Accepted, got.Jobs)
 }
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -77,7 +77,7 @@
 		check: newChecker(), faults: map[string]int{},
 	}
 	w.link = &link{world: w}
-	w.owners = &owners{world: w, now: map[string]ownership{}}
+	w.owners = &owners{world: w, now: map[string]ownership{}, takes: map[string]int{}}
 	w.store = newStore(w)
 	w.operator = newOperator(w)
 	w.duties = newDutyPlatform(w)
