Soak: two regions, their way cut, cut one way, slow or full

Nodes and replicas are dealt to two zones of two regions (--apart); the store stands in one. All nodes use one address of a replica, so the proxy tells by the system's table of sockets which process opened a connection. Ruled out: an address for each pair, as the replica's record names one.

--- a/Makefile
+++ b/Makefile
@@ -49,11 +49,13 @@
 prove:
 	scripts/prove.sh
 
-# soak-short is the soak that CI runs: two schedules that are always the same, a minute or two in all.
+# soak-short is the soak that CI runs: two schedules that are always the same, a minute or two in all;
+# the second over two regions that lie 20 ms apart.
 SOAK_SHORT_SEEDS := 4242 887712
 .PHONY: soak-short
 soak-short: build
-	@for seed in $(SOAK_SHORT_SEEDS); do $(BIN)/doorstep-standin soak --seed $$seed --for 15s || exit 1; done
+	$(BIN)/doorstep-standin soak --seed $(firstword $(SOAK_SHORT_SEEDS)) --for 15s
+	$(BIN)/doorstep-standin soak --seed $(lastword $(SOAK_SHORT_SEEDS)) --for 15s --apart 20ms
 
 # soak runs the real programs under faults from outside with a fresh seed, after the seeds
 # that ever failed (docs/SOAK.md). SOAK_FOR is how long each runs.
--- a/internal/command/standin/soak.go
+++ b/internal/command/standin/soak.go
@@ -31,6 +31,7 @@
 			&cli.DurationFlag{Name: "for", Usage: "how long faults are injected", Value: time.Minute},
 			&cli.IntFlag{Name: "nodes", Usage: "nodes", Value: 4},
 			&cli.IntFlag{Name: "replicas", Usage: "replicas of each service", Value: 4},
+			&cli.DurationFlag{Name: "apart", Usage: "spread nodes and replicas over two regions, so far apart each way"},
 			&cli.StringFlag{Name: "dir", Usage: "`FOLDER` for settings and logs; a new one if it is not given"},
 			&cli.BoolFlag{Name: "verbose", Usage: "tell of each fault"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -59,6 +60,7 @@
 	w := c.Root().Writer
 	run := &soak.Soak{
 		Binary: c.String("binary"), Dir: dir, Seed: seed, For: c.Duration("for"), NodeCount: c.Int("nodes"), ReplicaCount: c.Int("replicas"),
+		Apart: c.Duration("apart"),
 		Say: func(format string, values ...any) {
 			if c.Bool("verbose") {
 				fmt.Fprintf(w, format+"\n", values...)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -26,6 +26,8 @@
 type Proxy struct {
 	// Target is the host:port behind the link.
 	Target string
+	// Uses tells how a client's connection uses the way between the regions; nil for none does.
+	Uses func(client net.Conn) side
 
 	listener net.Listener
 	mode     atomic.Int32
@@ -83,8 +85,12 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
+	up := side{}
+	if p.Uses != nil {
+		up = p.Uses(client)
+	}
 	// A link that is cut accepts as the kernel would, and carries nothing.
-	p.hold(LinkMuteUp)
+	p.hold(LinkMuteUp, up)
 	server, err := net.Dial("tcp", p.Target)
 	if err != nil {
 		if tcp, ok := client.(*net.TCPConn); ok {
@@ -100,11 +106,11 @@
 	done.Add(2)
 	go func() {
 		defer done.Done()
-		p.pass(client, server, LinkMuteUp)
+		p.pass(client, server, LinkMuteUp, up)
 	}()
 	go func() {
 		defer done.Done()
-		p.pass(server, client, LinkMuteDown)
+		p.pass(server, client, LinkMuteDown, up.back())
 	}()
 	done.Wait()
 	p.mu.Lock()
@@ -116,7 +122,7 @@
 }
 
 // pass copies one direction; its end closes both sides, as a process's end does.
-func (p *Proxy) pass(from, to net.Conn, muted int) {
+func (p *Proxy) pass(from, to net.Conn, muted int, uses side) {
 	defer func() {
 		_ = from.Close()
 		_ = to.Close()
@@ -125,24 +131,24 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			time.Sleep(time.Duration(p.delay.Load()))
-			p.hold(muted)
+			time.Sleep(time.Duration(p.delay.Load()) + uses.delay())
+			p.hold(muted, uses)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
 		if err != nil {
-			p.hold(muted)
+			p.hold(muted, uses)
 			return
 		}
 	}
 }
 
 // hold waits while a direction is cut.
-func (p *Proxy) hold(muted int) {
+func (p *Proxy) hold(muted int, uses side) {
 	for {
 		mode := int(p.mode.Load())
-		if mode != LinkSilent && mode != muted {
+		if mode != LinkSilent && mode != muted && !uses.cut() {
 			return
 		}
 		time.Sleep(holdPoll)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,10 +41,14 @@
 	For time.Duration
 	// NodeCount and ReplicaCount are the sizes; replicas are counted by service.
 	NodeCount, ReplicaCount int
+	// Apart, unless 0, spreads nodes and replicas over two regions that lie so far apart each way;
+	// the store stands in one of them. Faults of the way between them come beside all others.
+	Apart time.Duration
 	// Say is told what happens.
 	Say func(format string, values ...any)
 
 	check     *Checker
+	way       Way
 	store     *platformtest.Store
 	server    *http.Server
 	storeAddr string
@@ -71,6 +75,7 @@
 // node is one process of the system with its links.
 type node struct {
 	name     string
+	zone     string
 	process  *Process
 	settings string
 	// toStore is its link to the store, toClients that of its clients.
@@ -102,6 +107,7 @@
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.check = NewChecker()
 	s.started = time.Now()
+	s.way.Apart = s.Apart
 	defer s.end()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -109,7 +115,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	s.startLoad(ctx, &load)
+	regions := make(chan int, 1)
+	go func() { regions <- s.disturbRegions(ctx) }()
 	faults := s.disturb(ctx)
+	if count := <-regions; count > 0 {
+		faults["regions"] = count
+	}
 	s.heal()
 	healedAt := time.Now()
 	s.settle(ctx, healedAt)
@@ -195,10 +206,12 @@
 	s.mu.Lock()
 	s.named++
 	id := fmt.Sprintf("%s-%d", service, s.named)
+	// Three services are started in turn: each has replicas of both regions.
+	zone := s.zoneOf(s.named)
 	s.mu.Unlock()
-	link := &Proxy{}
+	link := &Proxy{Uses: s.toReplica(zone)}
 	cfg := platformtest.ReplicaConfig{
-		ID: id, Service: service, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
+		ID: id, Service: service, Zone: zone, Model: model, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
 		Via: func(address string) string {
 			if link.Target != "" {
 				return link.listener.Addr().String()
@@ -228,7 +241,9 @@
 }
 
 func (s *Soak) addNode(name string) error {
-	n := &node{name: name, toStore: &Proxy{Target: s.storeAddr}, settings: filepath.Join(s.Dir, name+".yaml")}
+	zone := s.zoneOf(len(s.nodes))
+	toStore := &Proxy{Target: s.storeAddr, Uses: func(net.Conn) side { return s.between(zone, nearZone) }}
+	n := &node{name: name, zone: zone, toStore: toStore, settings: filepath.Join(s.Dir, name+".yaml")}
 	var addresses [3]string
 	for i := range addresses {
 		address, err := platformtest.FreeAddress()
@@ -246,13 +261,13 @@
 		return err
 	}
 	settings := fmt.Sprintf(`name: %s
-zone: zone-a
-listen: {requests: %q, readiness: %q, metrics: %q}
+zone: %s
+%slisten: {requests: %q, readiness: %q, metrics: %q}
 store: {address: %q}
 orders: {pause_ms: 3000}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
+`, name, zone, s.regionSettings(zone), addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
@@ -261,7 +276,9 @@
 		return err
 	}
 	n.process = &Process{Path: s.Binary, Args: []string{"--settings", n.settings}, Log: log}
+	s.mu.Lock()
 	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
 	return n.start()
 }
 
