Distance counts only where regions are known; a new owner waits for texts by it

A deployment of one region must behave as before: heads tell no place, nobody is preferred, watches hear as ever. Where regions are known a new owner waits for kept texts longer by two calls to the store (300 ms were less than one call over a slow link).

--- a/internal/process/cluster/latency.go
+++ b/internal/process/cluster/latency.go
@@ -43,6 +43,14 @@
 // Latency returns how long calls to the store take of late: the longest of the last few.
 func (n *Node) Latency() time.Duration { return n.latency.longest }
 
+// distance returns how long calls to the store take of late, 0 in a deployment of one region.
+func (n *Node) distance() time.Duration {
+	if n.options.Topology.Region == "" {
+		return 0
+	}
+	return n.latency.longest
+}
+
 // tickLatency tells of the store's distance when it has changed much.
 func (n *Node) tickLatency(now time.Time) {
 	if n.latency.news(now) {
--- a/internal/process/recordwatch/distance_test.go
+++ b/internal/process/recordwatch/distance_test.go
@@ -10,7 +10,7 @@
 
 func newWatch(queue *task.Queue, jitter float64, latency time.Duration) *Watch {
 	return New(Options{
-		Table: "t", Partitions: []string{"p"}, Queue: queue, Wait: time.Second, Jitter: jitter, Latency: func() time.Duration { return latency },
+		Table: "t", Partitions: []string{"p"}, Queue: queue, Wait: time.Second, Jitter: jitter, Distance: func() time.Duration { return latency },
 		OnList: func(time.Time, []port.Record) {}, OnChange: func(time.Time, []port.Record) {}, OnHealth: func(time.Time, bool) {},
 	})
 }
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -42,8 +42,8 @@
 	Gather, MostGather time.Duration
 	// Jitter, from 0 to 1, spreads the nodes' calls.
 	Jitter float64
-	// Latency returns how long calls to the store take of late; nil where it is near.
-	Latency func() time.Duration
+	// Distance returns how long calls to the store take of late; nil, or 0, where it is near.
+	Distance func() time.Duration
 	// OnList takes the whole table, OnChange records that changed.
 	OnList   func(now time.Time, records []port.Record)
 	OnChange func(now time.Time, records []port.Record)
@@ -109,24 +109,24 @@
 // answerWithin tells of a change that much later: at 600 ms a change that was 300 ms old counted as
 // not made (TestAFarStoreIsHeardOfLater).
 func (w *Watch) ObservedUntil(now time.Time) time.Time {
-	latency := w.latency()
-	if !w.watching || now.Sub(w.sentAt) <= max(answerWithin, latency) {
+	distance := w.distance()
+	if !w.watching || now.Sub(w.sentAt) <= max(answerWithin, distance) {
 		return w.answerAt
 	}
-	if latency <= answerWithin {
+	if distance <= answerWithin {
 		return now
 	}
-	if heard := now.Add(-latency); heard.After(w.answerAt) {
+	if heard := now.Add(-distance); heard.After(w.answerAt) {
 		return heard
 	}
 	return w.answerAt
 }
 
-func (w *Watch) latency() time.Duration {
-	if w.options.Latency == nil {
+func (w *Watch) distance() time.Duration {
+	if w.options.Distance == nil {
 		return 0
 	}
-	return w.options.Latency()
+	return w.options.Distance()
 }
 
 func (w *Watch) list() {
--- a/internal/version/batch/preference.go
+++ b/internal/version/batch/preference.go
@@ -16,9 +16,20 @@
 // Regions 20 ms apart stay far below; an owner behind a full link does not.
 const distanceWorth = 100 * time.Millisecond
 
-// place tells the other nodes where this one stands.
+// distance returns how long calls to the store take of late, 0 in a deployment of one region.
+func (j *Jobs) distance() time.Duration {
+	if j.options.Topology.Region == "" {
+		return 0
+	}
+	return j.options.Latency()
+}
+
+// place tells the other nodes where this one stands, nil in a deployment of one region.
 func (j *Jobs) place() *doorstepv1.OwnerPlace {
-	return &doorstepv1.OwnerPlace{Zone: j.options.Topology.Zone, StoreLatencyMs: int32(j.options.Latency().Milliseconds())}
+	if j.options.Topology.Region == "" {
+		return nil
+	}
+	return &doorstepv1.OwnerPlace{Zone: j.options.Topology.Zone, StoreLatencyMs: int32(j.distance().Milliseconds())}
 }
 
 // placeOf returns the place of an owner as its newest head tells it, nil if none does.
@@ -48,7 +59,7 @@
 // chosen one. One that does not tell its place is neither left nor taken for its distance.
 func (j *Jobs) nearer(now time.Time, chosen ownerID) ownerID {
 	place := j.placeOf(chosen)
-	if place == nil || storeLatency(place) <= distanceWorth {
+	if j.distance() == 0 || place == nil || storeLatency(place) <= distanceWorth {
 		return chosen
 	}
 	best, least := chosen, storeLatency(place)-distanceWorth
@@ -63,7 +74,7 @@
 			best, least = one, latency
 		}
 	}
-	consider(j.self(), j.options.Latency())
+	consider(j.self(), j.distance())
 	for _, known := range j.heads {
 		if known.Owner != "" && known.OwnerPlace != nil && !known.Ended && j.observing && now.Sub(known.changedAt) <= freshOwner {
 			consider(ownerID{known.Owner, known.OwnerIncarnation}, storeLatency(known.OwnerPlace))
@@ -100,5 +111,5 @@
 		return
 	}
 	j.options.Queue.Log(event.JobTakenAcross, "job", id, "former", former, "former_region", region, "region", j.options.Topology.Region,
-		"former_store_latency_ms", place.GetStoreLatencyMs(), "store_latency_ms", j.options.Latency().Milliseconds())
+		"former_store_latency_ms", place.GetStoreLatencyMs(), "store_latency_ms", j.distance().Milliseconds())
 }
--- a/internal/version/batch/preference_test.go
+++ b/internal/version/batch/preference_test.go
@@ -48,6 +48,7 @@
 		{"the model's owner does not tell its place", 4 * time.Millisecond, []*doorstepv1.BatchJobHead{untold, open("n", "b", 4)}, 0, "c"},
 	} {
 		b := newBench("a", newStore())
+		b.jobs.options.Topology = twoRegions("far-2")
 		b.latency = c.own
 		for i, one := range c.heads {
 			b.jobs.setHead(b.now, string(rune('p'+i)), one, int64(i+1))
@@ -77,6 +78,39 @@
 	}
 }
 
+// TestOneRegionTellsNoPlace: where no region is known nothing is told of places, and nobody is
+// preferred for its distance.
+func TestOneRegionTellsNoPlace(t *testing.T) {
+	b := newBench("a", newStore())
+	b.latency = 400 * time.Millisecond
+	b.jobs.setHead(b.now, "p", &doorstepv1.BatchJobHead{Model: "n", Owner: "b", Total: 5, OwnerPlace: &doorstepv1.OwnerPlace{Zone: "z", StoreLatencyMs: 4}}, 1)
+	b.accept(newJob("j", 1))
+	if state := b.jobs.heads["j"]; state.Owner != "a" || state.OwnerPlace != nil {
+		t.Errorf("owned by %s at %v", state.Owner, state.OwnerPlace)
+	}
+}
+
+// TestKeptTextsAreWaitedForFromAfar: how long a new owner waits for the texts of the former one.
+func TestKeptTextsAreWaitedForFromAfar(t *testing.T) {
+	for _, c := range []struct {
+		topology port.Topology
+		latency  time.Duration
+		want     time.Duration
+	}{
+		{port.Topology{Zone: "z"}, 400 * time.Millisecond, textsWithin},
+		{twoRegions("far-1"), 4 * time.Millisecond, textsWithin + 8*time.Millisecond},
+		{twoRegions("far-1"), 400 * time.Millisecond, textsWithin + 800*time.Millisecond},
+	} {
+		b := newBench("a", newStore())
+		b.jobs.options.Topology, b.latency = c.topology, c.latency
+		b.accept(newJob("j", 1))
+		b.jobs.owned["j"].readTexts(b.now)
+		if got := b.jobs.owned["j"].startAfter.Sub(b.now); got != c.want {
+			t.Errorf("%s at %s: waits %s, should be %s", c.topology.Zone, c.latency, got, c.want)
+		}
+	}
+}
+
 // TestTakeoverWithinTheRegionFirst: every node of the silent owner's region would take its job
 // before any of another region, and these no later than without regions.
 func TestTakeoverWithinTheRegionFirst(t *testing.T) {
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -21,7 +21,8 @@
 	keptEvents = 4
 	// keptAtOnce bounds the records of one transaction.
 	keptAtOnce = 90
-	// textsWithin is how long a new owner waits for kept texts before it starts.
+	// textsWithin is how long a new owner waits for kept texts before it starts, longer by twice
+	// the distance of the store: a read that takes longer finds the items begun anew.
 	textsWithin = 300 * time.Millisecond
 )
 
@@ -139,7 +140,7 @@
 
 // readTexts looks for what former owners kept.
 func (o *ownedJob) readTexts(now time.Time) {
-	o.startAfter = now.Add(textsWithin)
+	o.startAfter = now.Add(textsWithin + 2*o.jobs.distance())
 	o.readTextsFrom(o.id+"/t/", nil)
 }
 
