Soak: a connection's process is told by one question, not by the table of all sockets

Two explanations: load (60 on 12 processors, other work beside it) or the soak's own proxy, which read /proc/net/tcp at each connection: 9,000 sockets, 20 ms. The product had no part in it.

--- a/internal/soak/region.go
+++ b/internal/soak/region.go
@@ -5,10 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -102,7 +98,7 @@
 }
 
 // toReplica returns how a node's connection to a replica's link uses the way. All nodes use one
-// address of a replica: which of them opened a connection is told by the system's table of sockets.
+// address of a replica: which of them opened a connection is told by its socket.
 func (s *Soak) toReplica(zone string) func(client net.Conn) side {
 	return func(client net.Conn) side {
 		if s.Apart <= 0 {
@@ -121,28 +117,6 @@
 	}
 }
 
-// inodeOf returns the inode of the other end of a loopback connection, empty if it is gone.
-func inodeOf(conn net.Conn) string {
-	remote, isTCP := conn.RemoteAddr().(*net.TCPAddr)
-	local, isLocalTCP := conn.LocalAddr().(*net.TCPAddr)
-	if !isTCP || !isLocalTCP {
-		return ""
-	}
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	const localAt, remoteAt, inodeAt = 1, 2, 9
-	own, other := fmt.Sprintf(":%04X", remote.Port), fmt.Sprintf(":%04X", local.Port)
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) > inodeAt && strings.HasSuffix(fields[localAt], own) && strings.HasSuffix(fields[remoteAt], other) {
-			return fields[inodeAt]
-		}
-	}
-	return ""
-}
-
 // holds reports whether the present life holds a socket.
 func (p *Process) holds(inode string) bool {
 	cmd, _ := p.current()
@@ -152,20 +126,6 @@
 	return holdsSocket(cmd.Process.Pid, inode)
 }
 
-func holdsSocket(pid int, inode string) bool {
-	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	for _, entry := range entries {
-		if target, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
-
 // drawRegion draws a fault of the way between the regions.
 func drawRegion(random *rand.Rand) regionFault {
 	f := regionFault{For: upTo(random, regionFor)}
