--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -15,8 +15,8 @@
 
 const (
 	scorerName    = "scorer"
-	scorerCount   = 3
 	scorerZone    = "zone-0"
+	scorerCount   = 3
 	scorerSlots   = 4
 	scoringTime   = 30 * time.Millisecond
 	slowScoring   = 600 * time.Millisecond
@@ -117,10 +117,11 @@
 	known, _ := w.check.jobOfCall(t.Request)
 	w.check.sentTo(w, n, known, scorerName, t.Request, scorerZone)
 	w.After(t.Limit, func() { one.end(task.ScoringResult{Outcome: relay.Broken, Err: errNoAnswer}) })
-	w.After(callLatency, func() {
+	longer, lost := w.link.way(n.zone, scorerZone)
+	w.After(callLatency+longer, func() {
 		s := w.scorerAt(t.Address)
 		switch {
-		case one.ended:
+		case one.ended || lost:
 		case s == nil:
 			one.end(task.ScoringResult{Outcome: relay.Refused, Err: errNoAnswer})
 		case s.dark > 0:
@@ -175,7 +176,8 @@
 	}
 	one.ended = true
 	n, life := one.node, one.life
-	n.world.After(callLatency, func() {
+	longer, _ := n.world.link.way(scorerZone, n.zone)
+	n.world.After(callLatency+longer, func() {
 		n.do(life, func(now time.Time) {
 			delete(n.calls, one.task.ID)
 			one.task.Done(now, result)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,11 +41,15 @@
 	For time.Duration
 	// NodeCount and ReplicaCount are the sizes; replicas are counted by service.
 	NodeCount, ReplicaCount int
+	// Apart, unless 0, spreads nodes and replicas over two regions that lie so far apart each way;
+	// the store stands in one of them. Faults of the way between them come beside all others.
+	Apart time.Duration
 	// Say is told what happens.
 	Say func(format string, values ...any)
 
 	check     *Checker
 	homes     homes
+	way       Way
 	store     *platformtest.Store
 	server    *http.Server
 	storeAddr string
@@ -73,6 +77,7 @@
 // node is one process of the system with its links.
 type node struct {
 	name     string
+	zone     string
 	process  *Process
 	settings string
 	// toStore is its link to the store, toClients that of its clients.
@@ -104,6 +109,7 @@
 func (s *Soak) Run(ctx context.Context) (Report, error) {
 	s.check = NewChecker()
 	s.started = time.Now()
+	s.way.Apart = s.Apart
 	defer s.end()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -111,9 +117,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	s.startLoad(ctx, &load)
+	regions := make(chan int, 1)
+	go func() { regions <- s.disturbRegions(ctx) }()
 	evacuated := s.startEvacuations(ctx)
 	faults := s.disturb(ctx)
 	faults["evacuations"] = evacuated()
+	if count := <-regions; count > 0 {
+		faults["regions"] = count
+	}
 	s.heal()
 	healedAt := time.Now()
 	s.settle(ctx, healedAt)
@@ -202,7 +213,7 @@
 	id := fmt.Sprintf("%s-%d", service, s.named)
 	s.mu.Unlock()
 	zone := s.zoneFor(service)
-	link := &Proxy{}
+	link := &Proxy{Uses: s.toReplica(zone)}
 	cold := &coldReplica{id: id, link: link}
 	cfg := platformtest.ReplicaConfig{
 		ID: id, Service: service, Model: model, Zone: zone, Version: s.version.Load(), Versioned: true, Pace: 15 * time.Millisecond,
@@ -242,7 +253,9 @@
 }
 
 func (s *Soak) addNode(name string) error {
-	n := &node{name: name, toStore: &Proxy{Target: s.storeAddr}, settings: filepath.Join(s.Dir, name+".yaml")}
+	zone := zones[len(s.nodes)%len(zones)]
+	toStore := &Proxy{Target: s.storeAddr, Uses: func(net.Conn) side { return s.between(zone, nearZone) }}
+	n := &node{name: name, zone: zone, toStore: toStore, settings: filepath.Join(s.Dir, name+".yaml")}
 	var addresses [3]string
 	for i := range addresses {
 		address, err := platformtest.FreeAddress()
@@ -259,7 +272,6 @@
 	if n.address, err = n.toClients.Listen(); err != nil {
 		return err
 	}
-	zone := zones[len(s.nodes)%len(zones)]
 	settings := fmt.Sprintf(`name: %s
 zone: %s
 %slisten: {requests: %q, readiness: %q, metrics: %q}
@@ -277,7 +289,9 @@
 		return err
 	}
 	n.process = &Process{Path: s.Binary, Args: []string{"--settings", n.settings}, Log: log}
+	s.mu.Lock()
 	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
 	return n.start()
 }
 
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -78,8 +78,10 @@
 type Options struct {
 	Self        string
 	Incarnation uint64
-	Queue       *task.Queue
-	Random      *rand.Rand
+	// Topology is where the node stands among zones and regions.
+	Topology port.Topology
+	Queue    *task.Queue
+	Random   *rand.Rand
 	// Place chooses an endpoint, nil when none has room.
 	Place func(now time.Time, wanted Placement) *endpoint.Endpoint
 	// PlaceScoring chooses an endpoint for the scoring call of an item of a tenant's that has been
