Models with the longest texts get the fast replicas

Groups of replicas were dealt by the nearest version and by number only. On a deployment where a third of the replicas take 1.3 times as long for an event, texts of two of four models need 7.95 s of 7.5 s + 0.7 s at a fast replica and 10.3 s at a slower one, while the others' end in time at any.

Heads tell how many events a model's longest texts have (by what the items may have at the most, by the texts seen once there are enough); the holder of the order lease lets groups exchange replicas by that and by the least pace seen of each replica. Only replicas that lack their model's newest version are exchanged, which would be loaded next anyway.

Ruled out: moving replicas regardless of versions (a load each); names or settings (not known ahead).

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -120,7 +120,7 @@
 	if options.Duties.Scaling {
 		n.scaling = n.newScalingDuty()
 	}
-	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand})
+	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.modelEndpoints, Demand: n.demand, Longest: n.jobs.Longest})
 	n.operators = configuration.Empty()
 	n.watchTables()
 	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Topology.Zone, "incarnation", options.Incarnation)
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -105,6 +105,7 @@
 		records = records[perTransaction:]
 	}
 	a.last = records
+	a.head.LongestEvents = int32(j.longestEvents(job))
 	a.submit(now)
 }
 
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -128,6 +128,8 @@
 	stopping      bool
 	// apart counts the runs at each endpoint of items that run apart from one another.
 	apart map[string]int
+	// lengths are those of the models' texts that this node finished.
+	lengths map[string]*lengths
 	// collecting is set while a job's records are deleted, collectAt is when the next may
 	// be looked for.
 	collecting bool
@@ -136,7 +138,7 @@
 
 // New returns a machine that knows of no job.
 func New(options Options) *Jobs {
-	return &Jobs{options: options, heads: map[string]*head{}, owned: map[string]*ownedJob{}, apart: map[string]int{}}
+	return &Jobs{options: options, heads: map[string]*head{}, owned: map[string]*ownedJob{}, apart: map[string]int{}, lengths: map[string]*lengths{}}
 }
 
 // Known returns the state of a job as last seen: its items, how many are listed, and
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -20,6 +20,19 @@
 	return demand
 }
 
+// Longest returns how many events the longest texts of the jobs of late have, by model, as the
+// owners of the newest tell it; models without such a job are left out.
+func (j *Jobs) Longest(now time.Time) map[string]int64 {
+	longest, newest := map[string]int64{}, map[string]int64{}
+	for _, known := range j.heads {
+		if known.Model == "" || known.LongestEvents <= 0 || j.age(now, known.AcceptedAtMs) >= demandFor || known.AcceptedAtMs < newest[known.Model] {
+			continue
+		}
+		longest[known.Model], newest[known.Model] = int64(known.LongestEvents), known.AcceptedAtMs
+	}
+	return longest
+}
+
 // expectedTokens adds up what a job's items are expected to make; an item without a
 // hint counts as one token.
 func (j *Jobs) expectedTokens(job *doorstepv1.BatchJob) int64 {
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -174,6 +174,7 @@
 		return
 	}
 	one.wholeAt = now
+	o.jobs.lengthsOf(o.job.Model).learn(textLength{hint: o.jobs.options.LengthHint(one.header), events: len(one.events)})
 	o.jobs.options.Quarantine.Answered(now, one.request.Fingerprint)
 	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint, "events", len(one.events),
 		"versions", versionsOf(one.events), "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -46,6 +46,9 @@
 	if o.tellsPaces(now) {
 		next.Paces = o.paces(now)
 	}
+	if longest := o.jobs.lengthsOf(o.job.Model).longest(); longest > 0 {
+		next.LongestEvents = int32(longest)
+	}
 	next.Failures = maps.Clone(o.failures)
 	next.ScoringFailures = maps.Clone(o.scoringFailures)
 	next.ScoringLosses = maps.Clone(o.scoringLosses)
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -42,6 +42,8 @@
 	Endpoints func() []*endpoint.Endpoint
 	// Demand returns the tokens that trainers asked for lately, by model.
 	Demand func(now time.Time) map[string]int64
+	// Longest returns how many events the models' longest texts have, as far as is known.
+	Longest func(now time.Time) map[string]int64
 }
 
 // replicaState is what the holder knows of a replica's orders.
@@ -69,6 +71,7 @@
 	targets  map[string]int64
 	replicas map[string]*replicaState
 	groups   groups
+	nature   nature
 	limits   map[string]*loadLimit
 	// nextAt is when the replicas are looked at next.
 	nextAt time.Time
@@ -76,7 +79,7 @@
 
 // New returns a machine that knows no version.
 func New(options Options) *Rollout {
-	return &Rollout{options: options, targets: map[string]int64{}, replicas: map[string]*replicaState{}, limits: map[string]*loadLimit{}}
+	return &Rollout{options: options, targets: map[string]int64{}, replicas: map[string]*replicaState{}, nature: nature{}, limits: map[string]*loadLimit{}}
 }
 
 // Name takes a version that a trainer named; lower ones are old news.
@@ -124,6 +127,9 @@
 	loading := r.follow(now, members, limit)
 	staying := slices.DeleteFunc(slices.Clone(members), func(e *endpoint.Endpoint) bool { return e.Leaving() })
 	r.groups.assign(staying, r.targets, demand)
+	r.nature.note(now, staying)
+	exchange := exchanges{groups: &r.groups, members: staying, targets: r.targets, longest: r.options.Longest(now), nature: r.nature}
+	exchange.run()
 	for _, next := range r.wanted(staying) {
 		state := r.state(next.endpoint.ID)
 		if state.ordered || now.Before(state.notAt) {
@@ -174,6 +180,7 @@
 		}
 	}
 	r.groups.forget(listed)
+	r.nature.forget(listed)
 }
 
 // follow looks after the orders under way at a service's replicas and counts them.
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -24,6 +24,7 @@
 	orders     int
 	atOnce     int
 	demand     map[string]int64
+	longest    map[string]int64
 	// lag is how old the answers to reports are, asked holds those that are to come.
 	lag   time.Duration
 	asked []func()
@@ -44,7 +45,8 @@
 		Observed: func(now time.Time) time.Time { return now },
 		Clock:    func(now time.Time) (least, most time.Duration, known bool) { return 0, 0, true }})
 	b.rollout = New(Options{Self: "a", Queue: b.queue, Lease: b.lease, Endpoints: func() []*endpoint.Endpoint { return b.endpoints },
-		Demand: func(time.Time) map[string]int64 { return b.demand }})
+		Demand:  func(time.Time) map[string]int64 { return b.demand },
+		Longest: func(time.Time) map[string]int64 { return b.longest }})
 	for i := range replicas {
 		id := fmt.Sprintf("r%d", i)
 		b.generators[id] = &model.Generator{ID: id, Slots: 4, LoadFor: 900 * time.Millisecond, Versions: map[string]int64{"m": 1}}
