Moves and fast replicas by how long a model's texts become

Others were moved too late: to a replica whose pace nobody knew no run was moved, and such a one hid those that were known to be fast.

- batch/length.go: the survival of a model's texts, from the last three steps' texts.
A text's hint counts by how far off callers were (each known text stands for this one if its caller is off by the same factor).
Texts are taken once their job is over: those that are finished before are its short ones.
- A text that may become one of the longest begins at a fast replica while one has a slot and memory for it.
- `doorstep steps` shows needless moves and the group of the item that decided.

--- a/internal/command/operator/steps.go
+++ b/internal/command/operator/steps.go
@@ -54,11 +54,16 @@
 	// ends counts the runs that did not complete, by outcome.
 	ends map[task.RunOutcome]int
 	done []itemRecord
+	// needless counts the moves of items whose text ended a few events later.
+	needless int
 }
 
+// needlessEvents is how many events a text makes at the most after a move that was needless.
+const needlessEvents = 8
+
 // itemRecord is a completed item.
 type itemRecord struct {
-	id, replica string
+	id, group, replica string
 	// startMs is when its first run was sent, lastEndMs when a run ended before it was whole,
 	// 0 if the first run completed, doneMs when its text was whole.
 	startMs, lastEndMs, doneMs float64
@@ -76,7 +81,7 @@
 		return err
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ACCEPTED\tJOB\tMODEL\tSTEP\tITEMS\tSTART, MEDIAN\tLAST\tWHOLE, 95%\tLAST\tENDED\tOWNERS\tRUNS REFUSED\tUNREACHABLE\tSILENT\tBROKEN\tSLOW\tLAST ITEM")
+	fmt.Fprintln(table, "ACCEPTED\tJOB\tMODEL\tSTEP\tITEMS\tSTART, MEDIAN\tLAST\tWHOLE, 95%\tLAST\tENDED\tOWNERS\tRUNS REFUSED\tUNREACHABLE\tSILENT\tBROKEN\tSLOW\tNEEDLESSLY\tLAST ITEM")
 	for _, one := range stepsOf(lines) {
 		if one.lastWhole() >= late {
 			one.write(table)
@@ -113,9 +118,12 @@
 		case event.ItemCompleted:
 			if line.float("moves") > 0 {
 				one.ends[task.RunSlow]++
+				if line.float("last_run_events") <= needlessEvents {
+					one.needless++
+				}
 			}
 			one.done = append(one.done, itemRecord{
-				id: line.text("item"), replica: line.text("replica"), startMs: line.clockMs - line.float("since_ms"), lastEndMs: broken[item],
+				id: line.text("item"), group: line.text("group"), replica: line.text("replica"), startMs: line.clockMs - line.float("since_ms"), lastEndMs: broken[item],
 				doneMs: line.clockMs, events: int(line.float("events")), lastRunEvents: int(line.float("last_run_events")),
 				paceMs: line.float("pace_us") / 1000,
 			})
@@ -170,9 +178,9 @@
 	if s.endedMs > 0 {
 		ended = elapsed(s.since(s.endedMs))
 	}
-	fmt.Fprintf(w, "%.3f s\t%s\t%s\t%d\t%d of %d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.acceptedMs/1000, s.id, s.model, s.step, len(s.done), s.items,
+	fmt.Fprintf(w, "%.3f s\t%s\t%s\t%d\t%d of %d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.acceptedMs/1000, s.id, s.model, s.step, len(s.done), s.items,
 		s.quantile(0.5, start), lastStart, s.quantile(0.95, whole), lastWhole, ended, s.owners,
-		s.ends[task.RunRefused], s.ends[task.RunUnreachable], s.ends[task.RunSilent], s.ends[task.RunInterrupted]+s.ends[task.RunFailed], s.ends[task.RunSlow], s.cause())
+		s.ends[task.RunRefused], s.ends[task.RunUnreachable], s.ends[task.RunSilent], s.ends[task.RunInterrupted]+s.ends[task.RunFailed], s.ends[task.RunSlow], s.needless, s.cause())
 }
 
 // cause tells what the time of the item that was whole last went into.
@@ -181,7 +189,11 @@
 		return "none is whole"
 	}
 	one := s.last()
-	text := fmt.Sprintf("%s: waited %s", one.id, elapsed(s.since(one.startMs)))
+	text := one.id
+	if one.group != "" {
+		text += " of group " + one.group
+	}
+	text += fmt.Sprintf(": waited %s", elapsed(s.since(one.startMs)))
 	lastRun := one.startMs
 	if one.lastEndMs > one.startMs {
 		text += fmt.Sprintf(", %s in runs that ended early", elapsed(time.Duration((one.lastEndMs-one.startMs)*float64(time.Millisecond))))
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -26,15 +26,27 @@
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
 	query.Prefer = wanted.Prefer
 	query.Tokens, query.MemoryTokens = wanted.Tokens, n.serviceOf(wanted.Route).MemoryTokens
-	query.Room = rolloutRoom
+	query.Room, query.Paced = rolloutRoom, wanted.Paced
 	query.Exclude = excluded(wanted)
 	query.BestPace = n.bestPace(now, wanted.Route)
 	if wanted.Long {
+		if chosen := n.placeFast(query, wanted.Route); chosen != nil {
+			return chosen
+		}
 		return n.pick(&endpoint.LongRollouts, query, wanted.Route)
 	}
 	return n.pick(&endpoint.Rollouts, query, wanted.Route)
 }
 
+// placeFast chooses one of the fastest endpoints for an item whose text may be among the longest,
+// nil if none of them begins it at once. Where a route is split, its weights go first.
+func (n *Node) placeFast(query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	if len(route.Backends) != 1 {
+		return nil
+	}
+	return endpoint.FastRollouts.Pick(query, n.endpoints.Service(route.Backends[0].Service))
+}
+
 // excluded returns the endpoints that an item must not go to.
 func excluded(wanted batch.Placement) map[string]bool {
 	if wanted.Avoid == "" {
--- a/internal/process/cluster/place_test.go
+++ b/internal/process/cluster/place_test.go
@@ -83,3 +83,58 @@
 		}
 	}
 }
+
+// TestMovesGoWhereThePaceIsKnown: a run isn't moved to a replica that nobody has seen work yet, so
+// that one of these must not hide those that are known to be fast.
+func TestMovesGoWhereThePaceIsKnown(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+	n := newNode()
+	n.apply(start, &port.RouteTable{Version: 1, Routes: []port.Route{*route}, Services: []port.Service{{Name: "s"}}})
+	for _, id := range []string{"known", "slow", "unknown"} {
+		n.endpoints.Put(port.ReplicaRecord{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+	}
+	known := n.endpoints.Find("known")
+	known.InFlight = 3
+	known.LearnPace(start, 50*time.Millisecond)
+	n.endpoints.Find("slow").LearnPace(start, 65*time.Millisecond)
+	for _, paced := range []bool{false, true} {
+		want := map[bool]string{false: "unknown", true: "known"}[paced]
+		chosen := n.place(start.Add(time.Millisecond), batch.Placement{Route: route, Model: "m", Avoid: "slow", Long: true, Paced: paced})
+		if chosen == nil || chosen.ID != want {
+			t.Errorf("paced %t: %v, should be %s", paced, chosen, want)
+		}
+	}
+}
+
+// TestLongItemsGoToFastReplicas: with room at one of the fastest replicas, a text that may be
+// among the longest isn't begun at a slower one, however idle that is.
+func TestLongItemsGoToFastReplicas(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+	for _, c := range []struct {
+		name string
+		long bool
+		// inFlight and tokens are what this node has at the fast replica, of 4 slots and 1,000.
+		inFlight, tokens int
+		want             string
+	}{
+		{"both idle", true, 0, 0, "fast"},
+		{"the fast one has its last slot free", true, 3, 300, "fast"},
+		{"the fast one has no slot", true, 4, 300, "slow"},
+		{"the fast one has no memory", true, 3, 900, "slow"},
+		{"a text that is likely short", false, 0, 0, "slow"},
+	} {
+		n := newNode()
+		n.apply(start, &port.RouteTable{Version: 1, Routes: []port.Route{*route}, Services: []port.Service{{Name: "s", MemoryTokens: 1000}}})
+		for _, id := range []string{"fast", "slow"} {
+			n.endpoints.Put(port.ReplicaRecord{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+		}
+		fast := n.endpoints.Find("fast")
+		fast.InFlight, fast.Tokens = c.inFlight, c.tokens
+		fast.LearnPace(start, 50*time.Millisecond)
+		n.endpoints.Find("slow").LearnPace(start, 65*time.Millisecond)
+		chosen := n.place(start.Add(time.Millisecond), batch.Placement{Route: route, Model: "m", Long: c.long, Tokens: 200})
+		if chosen == nil || chosen.ID != c.want {
+			t.Errorf("%s: %v, should be %s", c.name, chosen, c.want)
+		}
+	}
+}
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -25,6 +25,8 @@
 	// BestPace is the least time between two events among the candidates' runs, 0 when
 	// none is known.
 	BestPace time.Duration
+	// Paced wants an endpoint whose pace is known, if there is one.
+	Paced bool
 	// AllowEjected also takes endpoints that failed lately.
 	AllowEjected bool
 	// Rotation breaks ties; it differs from choice to choice.
@@ -66,6 +68,11 @@
 		filters: Rollouts.filters,
 		scorers: []weightedScorer{{Steady, 8}, {LeastLoad, 4}, {FreeSlot, 3}, {FreeMemory, 6}, {SameZone, 0.1}},
 	}
+	// FastRollouts is for the same items while there is room for them at the fastest endpoints.
+	FastRollouts = Profile{
+		filters: append(slices.Clone(Rollouts.filters), FastKind, HasSlot, HasMemory),
+		scorers: LongRollouts.scorers,
+	}
 	ScoringCalls = Profile{
 		filters: append(slices.Clone(Requests.filters), HasRoom),
 		scorers: Requests.scorers,
@@ -94,6 +101,23 @@
 	return float64(e.Load(q.Now)) < q.Room*float64(max(e.Slots, 1))
 }
 
+// FastKind drops endpoints whose runs are known to make events more slowly than the fastest.
+func FastKind(q *Query, e *Endpoint) bool {
+	pace := e.Pace(q.Now)
+	if pace == 0 || q.BestPace == 0 {
+		return !q.Paced
+	}
+	return float64(pace) <= alikePaces*float64(q.BestPace)
+}
+
+// HasSlot drops endpoints that would not begin the request at once.
+func HasSlot(q *Query, e *Endpoint) bool { return e.Load(q.Now) < e.Slots }
+
+// HasMemory drops endpoints whose memory this node's runs and the request are expected to outgrow.
+func HasMemory(q *Query, e *Endpoint) bool {
+	return q.MemoryTokens <= 0 || e.Tokens+q.Tokens <= q.MemoryTokens
+}
+
 // LeastLoad is 1 for an idle endpoint and falls to 0 at twice its slots.
 func LeastLoad(q *Query, e *Endpoint) float64 {
 	return max(0, 1-float64(e.Load(q.Now))/float64(2*max(e.Slots, 1)))
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -64,6 +64,7 @@
 	ScoringRetried     = 917
 	ItemScored         = 918
 	ScoringUnrouted    = 919
+	RunMoved           = 920
 	UsageGathered      = 950
 	UsageReported      = 951
 	UsageLost          = 952
@@ -130,6 +131,7 @@
 	{ScoringRetried, Info, "scoring call retried", "An attempt of an item's scoring call brought no score; outcome, status and failures say why."},
 	{ItemScored, Info, "item scored", "The score of a whole text is at hand; replica, attempts and times say how it came."},
 	{ScoringUnrouted, Warn, "scoring call has no route", "The configuration in force has no route for an item's scoring call; it waits for one until the item may be given up."},
+	{RunMoved, Info, "run moved", "An item goes on at a faster replica; reason says why, pace_us and best_us how fast the two are, left_ms how long until the results are due."},
 	{UsageGathered, Info, "usage gathered", "The counts of a window were added up and fixed in the store; stood says that another holder's sum stood already."},
 	{UsageReported, Info, "usage reported", "A window's report was sent to the platform; status is its answer, late says that it was overdue."},
 	{UsageLost, Warn, "usage lost", "Requests were counted that no report will hold; reason says why."},
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -66,6 +66,8 @@
 	Exclude map[string]bool
 	// Long texts decide when the job is whole.
 	Long bool
+	// Paced items are to go where it is known how fast events are made, if they can.
+	Paced bool
 	// Tokens is the memory that the item is expected to take at its replica.
 	Tokens int
 }
@@ -261,6 +263,9 @@
 	}
 	delete(j.owned, id)
 	j.options.Queue.Log(event.JobDropped, "job", id, "reason", reason)
+	if job.head.Ended {
+		job.learnLengths()
+	}
 	job.closing = true
 	job.stopRuns(now)
 }
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -74,8 +74,11 @@
 	runs      int
 	// unsaved is set while a failure is not on record.
 	unsaved bool
-	// wholeAt is when its text was whole.
+	// wholeAt is when its text was whole, length how many events it then had.
 	wholeAt time.Time
+	length  int
+	// hint is the length that its caller estimated, in tokens, 0 for none.
+	hint int
 	// interruptions counts the runs that broke off, moves those that were slow.
 	interruptions, moves int
 	// request is what its runs ask for, scoringRequest what its scoring calls do.
@@ -97,12 +100,11 @@
 		o.items[i].request = o.itemRequest(content)
 		o.items[i].waitsSince = now
 		hints[i] = o.jobs.options.LengthHint(header)
+		o.items[i].hint = hints[i]
 		order[i] = i
 	}
 	sortByLength(order, func(index int) int { return hints[index] })
-	for _, index := range order[:len(order)/longPart] {
-		o.items[index].long = hints[index] > 0
-	}
+	o.markLong(order, hints)
 	o.order = order
 	o.groupOf, o.groups = groupsOf(o.job)
 }
@@ -174,9 +176,9 @@
 		return
 	}
 	one.wholeAt = now
-	o.jobs.lengthsOf(o.job.Model).learn(textLength{hint: o.jobs.options.LengthHint(one.header), events: len(one.events)})
+	one.length = len(one.events)
 	o.jobs.options.Quarantine.Answered(now, one.request.Fingerprint)
-	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "replica", one.endpoint, "events", len(one.events),
+	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "group", o.job.Items[index].Group, "replica", one.endpoint, "events", len(one.events),
 		"versions", versionsOf(one.events), "runs", one.runs, "moves", one.moves, "interruptions", one.interruptions, "long", one.long,
 		"since_ms", now.Sub(one.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds(), "to_score", o.job.Items[index].Scoring != nil)
 	if o.job.Items[index].Scoring != nil {
--- a/internal/version/batch/length.go
+++ b/internal/version/batch/length.go
@@ -7,16 +7,12 @@
 )
 
 const (
-	// lengthsKept is how many of a model's finished texts its lengths are told by: those of some
-	// three steps.
+	// lengthsKept is how many of a model's texts its lengths are told by: those of some three steps.
 	lengthsKept = 384
 	// lengthsKnown is how many there must be to tell anything, alikeKnown how many of them must
-	// be comparable with a text for its own chances to be told.
+	// have passed a text's events for its own chances to be told.
 	lengthsKnown = 48
 	alikeKnown   = 6
-	// alikeHints is by what factor hints may differ for texts to be comparable: hints are off
-	// by as much themselves.
-	alikeHints = 1.5
 	// nearLongest is the part of the longest text from which on a text counts as one of the
 	// longest.
 	nearLongest = 0.9
@@ -30,8 +26,8 @@
 	events int
 }
 
-// lengths is the survival of a model's texts: how long those became that a caller's estimate
-// and their events so far made alike.
+// lengths is the survival of a model's texts: how many of those that passed some events went on
+// to others, and how far off callers' estimates were.
 type lengths struct {
 	finished []textLength
 	next     int
@@ -60,48 +56,57 @@
 
 // survival is what is expected of a text that has made some events.
 type survival struct {
-	// chance is the part of comparable texts that reached the events asked for, from 0 to 1.
+	// chance is that of reaching the events asked for, from 0 to 1.
 	chance float64
-	// left is the mean of the events that comparable texts made from there on.
+	// left is the mean of the events that it makes from there on.
 	left float64
 	// known is false if too few comparable texts are known.
 	known bool
 }
 
 // survive tells of a text with a caller's hint that has made events whether it will have most.
-// Comparable are texts with a hint like its own that passed as many events; where those are
-// few, all that passed them.
+// Each known text stands for what this one becomes if its caller is off by the same factor;
+// without hints for what it becomes itself.
 func (l *lengths) survive(hint, made, most int) survival {
 	if !l.known() {
 		return survival{}
 	}
-	if alike := l.among(made, most, func(one textLength) bool { return alikeHint(hint, one.hint) }); alike.known {
-		return alike
-	}
-	return l.among(made, most, func(textLength) bool { return true })
-}
-
-func alikeHint(a, b int) bool {
-	return float64(a) <= alikeHints*float64(b) && float64(b) <= alikeHints*float64(a)
-}
-
-// among tells the same by the texts that are comparable.
-func (l *lengths) among(made, most int, comparable func(textLength) bool) survival {
 	passed, reached, left := 0, 0, 0
+	longest := l.longest()
 	for _, one := range l.finished {
-		if one.events <= made || !comparable(one) {
-			continue
+		events := one.events
+		if hint > 0 && one.hint > 0 {
+			events = min(events*hint/one.hint, longest)
 		}
-		passed++
-		left += one.events - made
-		if one.events >= most {
-			reached++
+		switch {
+		case events <= made:
+		case events < most && one.events >= longest:
+			// It was cut: how far off its caller was isn't known.
+		default:
+			passed++
+			left += events - made
+			if events >= most {
+				reached++
+			}
 		}
 	}
 	if passed < alikeKnown {
 		return survival{}
 	}
-	return survival{chance: float64(reached) / float64(passed), left: float64(left) / float64(passed), known: true}
+	// The rule of succession: none of six says less than none of sixty.
+	return survival{chance: float64(reached+1) / float64(passed+2), left: float64(left) / float64(passed), known: true}
+}
+
+// learnLengths takes the texts of a job that is over. Before that its finished texts are its
+// short ones; those that it was ended without have at least the events made so far.
+func (o *ownedJob) learnLengths() {
+	known := o.jobs.lengthsOf(o.job.Model)
+	for i := range o.items {
+		one := &o.items[i]
+		if events := max(one.length, len(one.events)+len(one.progress)); events > 0 {
+			known.learn(textLength{hint: one.hint, events: events})
+		}
+	}
 }
 
 // lengthsOf returns the lengths of a model's texts.
@@ -114,6 +119,25 @@
 	return known
 }
 
+// markLong marks the items whose texts may be among the longest: those that comparable texts of
+// the model became, or while too few are known a part of the items, by their callers' hints.
+// The items are in the order of the hints.
+func (o *ownedJob) markLong(order, hints []int) {
+	known := o.jobs.lengthsOf(o.job.Model)
+	most := int(nearLongest * float64(known.longest()))
+	for place, index := range order {
+		one := &o.items[index]
+		expected := known.survive(hints[index], 0, most)
+		switch {
+		case hints[index] <= 0:
+		case expected.known:
+			one.long = expected.chance >= decideChance
+		default:
+			one.long = place < len(order)/longPart
+		}
+	}
+}
+
 // longestEvents returns how many events a job's longest texts are expected to have: the most
 // that this node saw of the model, or else what the items may have, 0 if neither is known.
 func (j *Jobs) longestEvents(job *doorstepv1.BatchJob) int {
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -175,7 +175,8 @@
 	}
 	for i := range o.items {
 		if o.items[i].state != itemListed && listed(known.BatchJobHead, i) {
-			o.items[i] = item{state: itemListed, run: o.items[i].run, endpoint: o.items[i].endpoint}
+			one := &o.items[i]
+			*one = item{state: itemListed, run: one.run, endpoint: one.endpoint, hint: one.hint, length: one.length}
 		}
 	}
 }
@@ -192,6 +193,7 @@
 	if o.head.complete() {
 		delete(o.jobs.owned, o.id)
 		o.jobs.options.Queue.Log(event.JobCompleted, "job", o.id, "total", o.head.Total)
+		o.learnLengths()
 		return
 	}
 	o.giveUp(now)
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -9,18 +9,8 @@
 	"github.com/doorstep/doorstep/internal/process/task"
 )
 
-const (
-	// runLimit is the time granted to one run of an item.
-	runLimit = 30 * time.Second
-	// slowFactor, times a faster replica's pace, is where a run is moved there;
-	// movesAtMost bounds that for an item.
-	slowFactor = 1.2
-	// troubledFactor is where a run is moved however short it is; others are short
-	// until they have made shortEvents events.
-	troubledFactor = 1.7
-	shortEvents    = 16
-	movesAtMost    = 2
-)
+// runLimit is the time granted to one run of an item.
+const runLimit = 30 * time.Second
 
 // Silences after which a run is continued at another replica. Continuing costs little,
 // while a silent replica may load a version, or be gone. Each interruption doubles the
@@ -140,9 +130,8 @@
 	return patience(nextSilence, one.interruptions)
 }
 
-// onProgress learns how fast a run makes events, and decides whether it is to go on
-// elsewhere: only if there is a clearly faster replica with room. Moving a run costs its
-// prompt and text read anew, so it is done a few times at most.
+// onProgress learns how fast a run makes events, and whether it is to go on elsewhere: only if
+// there is a clearly faster replica with room, and a few times at most.
 func (o *ownedJob) onProgress(now time.Time, index int, run uint64, events []port.ReplicaEvent, pace time.Duration) bool {
 	one := &o.items[index]
 	if one.run == run && one.state == itemRunning {
@@ -162,13 +151,23 @@
 		return false
 	}
 	better := o.jobs.options.Place(now, Placement{
-		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true,
+		Route: route, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true, Paced: true,
 	})
 	if better == nil || better.Pace(now) == 0 {
 		return false
 	}
-	times := float64(pace) / float64(better.Pace(now))
-	return times > troubledFactor || times > slowFactor && (one.long || len(events) >= shortEvents)
+	slow := slowRun{
+		pace: pace, best: better.Pace(now), made: len(one.events) + len(events), last: len(events),
+		hint: one.hint, most: o.jobs.options.MostEvents(route, one.header), long: one.long,
+		left: route.ResultDeadline - o.jobs.age(now, o.head.AcceptedAtMs), timed: route.ResultDeadline > 0,
+	}
+	reason := slow.move(o.jobs.lengthsOf(o.job.Model))
+	if reason == stays {
+		return false
+	}
+	o.jobs.options.Queue.Log(event.RunMoved, "job", o.id, "item", o.job.Items[index].Id, "group", o.job.Items[index].Group, "reason", string(reason),
+		"replica", one.endpoint, "events", slow.made, "pace_us", pace.Microseconds(), "best_us", slow.best.Microseconds(), "left_ms", slow.left.Milliseconds())
+	return true
 }
 
 func lastEvent(events []port.ReplicaEvent) int64 {
