--- a/internal/process/cluster/cold_test.go
+++ b/internal/process/cluster/cold_test.go
@@ -159,14 +159,14 @@
 }
 
 // burst places items, as an owner does at each tick, and returns how long the last and the middle one
-// waited. Each runs for 300 ms.
-func (c *coldNode) burst(items int) (last, middle time.Duration) {
+// waited. Each runs for 300 ms. Long ones seek the fastest replicas first.
+func (c *coldNode) burst(items int, long bool) (last, middle time.Duration) {
 	began := c.Now.Add(25 * time.Millisecond)
 	var waits []time.Duration
 	c.Every(25*time.Millisecond, func() bool {
 		c.do(func(now time.Time) {
 			for len(waits) < items {
-				chosen := c.place(now, batch.Placement{Route: coldRoute(port.RouteBatch), Model: "m", MinVersion: 1})
+				chosen := c.place(now, batch.Placement{Route: coldRoute(port.RouteBatch), Model: "m", MinVersion: 1, Long: long})
 				if chosen == nil {
 					return
 				}
@@ -205,35 +205,37 @@
 		{"the one zone there is, just started", 16, 0, true, 2 * time.Second, coldMost},
 		{"the one zone there is, told late", 16, 1200 * time.Millisecond, false, 3 * time.Second, coldMost},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			n := newColdNode()
-			if !c.fresh {
-				for i := range c.replicas {
-					n.list(fmt.Sprint("r", i), 0)
+		for _, long := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, long items: %t", c.name, long), func(t *testing.T) {
+				n := newColdNode()
+				if !c.fresh {
+					for i := range c.replicas {
+						n.list(fmt.Sprint("r", i), 0)
+					}
+				}
+				n.own()
+				for i := range 16 {
+					n.cold[fmt.Sprint("r", i)] = n.Now.Add(coldLasts)
+					tell := func() { n.list(fmt.Sprint("r", i), n.cold[fmt.Sprint("r", i)].Sub(n.Now)) }
+					if c.told == 0 {
+						tell()
+					} else {
+						n.After(c.told, tell)
+					}
 				}
-			}
-			n.own()
-			for i := range 16 {
-				n.cold[fmt.Sprint("r", i)] = n.Now.Add(coldLasts)
-				tell := func() { n.list(fmt.Sprint("r", i), n.cold[fmt.Sprint("r", i)].Sub(n.Now)) }
 				if c.told == 0 {
-					tell()
-				} else {
-					n.After(c.told, tell)
+					n.run(200 * time.Millisecond)
 				}
-			}
-			if c.told == 0 {
-				n.run(200 * time.Millisecond)
-			}
-			last, middle := n.burst(items)
-			n.burst(items)
-			if n.most > c.most {
-				t.Errorf("a cold replica got %d requests within a second, %d are allowed", n.most, c.most)
-			}
-			if last > c.last {
-				t.Errorf("the last item waited %s, should be %s at the most", last, c.last)
-			}
-			t.Logf("at the most %d requests within a second; the middle item waited %s, the last %s", n.most, middle, last)
-		})
+				last, middle := n.burst(items, long)
+				n.burst(items, long)
+				if n.most > c.most {
+					t.Errorf("a cold replica got %d requests within a second, %d are allowed", n.most, c.most)
+				}
+				if last > c.last {
+					t.Errorf("the last item waited %s, should be %s at the most", last, c.last)
+				}
+				t.Logf("at the most %d requests within a second; the middle item waited %s, the last %s", n.most, middle, last)
+			})
+		}
 	}
 }
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -117,6 +117,7 @@
 	}
 	a.last = records
 	a.head.MinVersion = job.MinVersion
+	a.head.LongestEvents = int32(j.longestEvents(job))
 	a.submit(now)
 }
 
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -68,6 +68,8 @@
 	Exclude map[string]bool
 	// Long texts decide when the job is whole.
 	Long bool
+	// Paced items are to go where it is known how fast events are made, if they can.
+	Paced bool
 	// Tokens is the memory that the item is expected to take at its replica.
 	Tokens int
 	// Look asks where the item would go; nothing is sent there.
@@ -136,6 +138,8 @@
 	stopping      bool
 	// apart counts the runs at each endpoint of items that run apart from one another.
 	apart map[string]int
+	// lengths are those of the models' texts that this node finished.
+	lengths map[string]*lengths
 	// collecting is set while a job's records are deleted, collectAt is when the next may
 	// be looked for.
 	collecting bool
@@ -144,7 +148,7 @@
 
 // New returns a machine that knows of no job.
 func New(options Options) *Jobs {
-	return &Jobs{options: options, heads: map[string]*head{}, owned: map[string]*ownedJob{}, apart: map[string]int{}}
+	return &Jobs{options: options, heads: map[string]*head{}, owned: map[string]*ownedJob{}, apart: map[string]int{}, lengths: map[string]*lengths{}}
 }
 
 // Known returns the state of a job as last seen: its items, how many are listed, and
@@ -267,6 +271,9 @@
 	}
 	delete(j.owned, id)
 	j.options.Queue.Log(event.JobDropped, "job", id, "reason", reason)
+	if job.head.Ended {
+		job.learnLengths()
+	}
 	job.closing = true
 	job.stopRuns(now)
 }
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -46,6 +46,9 @@
 	if o.tellsPaces(now) {
 		next.Paces = o.paces(now)
 	}
+	if longest := o.jobs.lengthsOf(o.job.Model).longest(); longest > 0 {
+		next.LongestEvents = int32(longest)
+	}
 	next.Failures = maps.Clone(o.failures)
 	next.ScoringFailures = maps.Clone(o.scoringFailures)
 	next.ScoringLosses = maps.Clone(o.scoringLosses)
@@ -120,7 +123,11 @@
 func (o *ownedJob) readyItems(now time.Time) []int {
 	var ready []int
 	due := o.releasing || int(o.head.Total-o.head.Listed) <= lastItems
-	if !o.releasing && o.holdsBack(now) {
+	lists := wholePulse
+	if !o.releasing {
+		lists = o.listsNow(now)
+	}
+	if lists == noPulse {
 		return nil
 	}
 	for i := range o.items {
@@ -130,6 +137,9 @@
 		ready = append(ready, i)
 		due = due || now.Sub(o.items[i].finishedAt) >= gatherFor
 	}
+	if lists == partPulse {
+		return ready[:min(max(len(ready)-pulseReserve, 0), listAtOnce)]
+	}
 	if !due && len(ready) < listAtOnce {
 		return nil
 	}
@@ -167,6 +177,8 @@
 	default:
 		// The beat that did not get through is still due.
 		o.sentAt = o.writtenAt
+		// What a pulse was to list isn't listed.
+		o.pulses = pulses{}
 		o.retryAt = now.Add(o.pause)
 		o.pause = min(2*o.pause, longestPause)
 	}
