--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -18,63 +18,63 @@
 
 // The events by number. Numbers are never reused; gaps are events of earlier versions.
 const (
-	ProcessStarted       = 100
-	ProcessStopping      = 101
-	ProcessStopped       = 102
-	SettingsReloaded     = 103
-	MachineResumed       = 104
-	ConfigurationHeld    = 300
-	RoutesApplied        = 310
-	LeaseAcquired        = 400
-	LeaseLost            = 401
-	LeaseReleased        = 402
-	StepDelivered        = 500
-	RequestAnswered      = 610
-	RequestRefused       = 611
-	AttemptEnded         = 612
-	ReplicaCrashed       = 613
-	RequestQuarantined   = 614
-	QuarantineTrial      = 615
-	QuarantineLifted     = 616
-	ReplicaLeaving       = 700
-	ReplicaAdded         = 710
-	ReplicaRemoved       = 711
-	ReplicaEjected       = 712
-	ReplicaLapsed        = 713
-	VersionNamed         = 720
-	VersionOrdered       = 721
-	VersionLoaded        = 722
-	ReplicaCold          = 740
-	ReplicaWarm          = 741
-	ColdClaimed          = 742
-	ColdClaimDenied      = 743
-	ColdWindowsCollected = 744
-	StoreLost            = 801
-	StoreRegained        = 802
-	RecordUnreadable     = 803
-	JobAccepted          = 900
-	JobRefused           = 901
-	JobTaken             = 902
-	JobDropped           = 903
-	JobCompleted         = 904
-	JobEnded             = 905
-	JobAssigned          = 906
-	JobCollected         = 907
-	ItemRetried          = 910
-	ItemTerminated       = 911
-	TextDiscarded        = 912
-	TextAdopted          = 914
-	ItemCompleted        = 915
-	JobRead              = 916
-	ScoringRetried       = 917
-	ItemScored           = 918
-	ScoringUnrouted      = 919
-	UsageGathered        = 950
-	UsageReported        = 951
-	UsageLost            = 952
-	UsageClockSet        = 953
-	ReplicasOrdered      = 960
-	LogLinesDropped      = 990
+	ProcessStarted     = 100
+	ProcessStopping    = 101
+	ProcessStopped     = 102
+	SettingsReloaded   = 103
+	MachineResumed     = 104
+	ConfigurationHeld  = 300
+	RoutesApplied      = 310
+	LeaseAcquired      = 400
+	LeaseLost          = 401
+	LeaseReleased      = 402
+	StepDelivered      = 500
+	RequestAnswered    = 610
+	RequestRefused     = 611
+	AttemptEnded       = 612
+	ReplicaCrashed     = 613
+	RequestQuarantined = 614
+	QuarantineTrial    = 615
+	QuarantineLifted   = 616
+	ReplicaLeaving     = 700
+	ReplicaAdded       = 710
+	ReplicaRemoved     = 711
+	ReplicaEjected     = 712
+	ReplicaLapsed      = 713
+	VersionNamed       = 720
+	VersionOrdered     = 721
+	VersionLoaded      = 722
+	ReplicaCold        = 740
+	ReplicaWarm        = 741
+	ColdClaimed        = 742
+	ColdClaimDenied    = 743
+	ColdRowsCollected  = 744
+	StoreLost          = 801
+	StoreRegained      = 802
+	RecordUnreadable   = 803
+	JobAccepted        = 900
+	JobRefused         = 901
+	JobTaken           = 902
+	JobDropped         = 903
+	JobCompleted       = 904
+	JobEnded           = 905
+	JobAssigned        = 906
+	JobCollected       = 907
+	ItemRetried        = 910
+	ItemTerminated     = 911
+	TextDiscarded      = 912
+	TextAdopted        = 914
+	ItemCompleted      = 915
+	JobRead            = 916
+	ScoringRetried     = 917
+	ItemScored         = 918
+	ScoringUnrouted    = 919
+	UsageGathered      = 950
+	UsageReported      = 951
+	UsageLost          = 952
+	UsageClockSet      = 953
+	ReplicasOrdered    = 960
+	LogLinesDropped    = 990
 )
 
 // Entry describes one event.
@@ -119,7 +119,7 @@
 	{ReplicaWarm, Info, "replica warm", "A replica is cold no more by its record."},
 	{ColdClaimed, Info, "cold replica claimed", "This node took requests from a cold replica's window; taken says how many all nodes have, until_ms when the window ends by the store's clock."},
 	{ColdClaimDenied, Info, "cold replica not claimed", "No request to a cold replica could be had; wait_ms says when one may be."},
-	{ColdWindowsCollected, Info, "cold windows collected", "The windows of replicas that are gone were deleted from the store."},
+	{ColdRowsCollected, Info, "cold windows collected", "The windows of replicas that are gone were deleted from the store."},
 	{StoreLost, Warn, "record store lost", "A watch of the record store broke; the node goes on with what it knows and reads the table anew."},
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
