Long items keep to a route's weights

Cause: placeFast took the only backend of a route whatever its weight, so that long items went to a service that operators had taken from the route by a weight of 0; pick skips it (Splitter.Order). Ruled out: the other bounds. FastRollouts has the filters of Rollouts (leaving, drained and evacuated, homes, exclusions, ejected, version, loading, room); guard sets the bound of cold replicas, which Profile.allowed goes by for every profile; several backends are left to the splitter. Measured: TestLongItemsKeepToWeights fails before (long: "a" chosen) and passes now. Conclusion: the fast way asks for a weight too.

--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -40,9 +40,10 @@
 }
 
 // placeFast chooses one of the fastest endpoints for an item whose text may be among the longest,
-// nil if none of them begins it at once. Where a route is split, its weights go first.
+// nil if none of them begins it at once. Where a route is split, its weights go first; a service
+// without weight gets nothing.
 func (n *Node) placeFast(query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
-	if len(route.Backends) != 1 {
+	if len(route.Backends) != 1 || route.Backends[0].Weight <= 0 {
 		return nil
 	}
 	service := route.Backends[0].Service
--- a/internal/process/cluster/place_test.go
+++ b/internal/process/cluster/place_test.go
@@ -138,3 +138,16 @@
 		}
 	}
 }
+
+// TestLongItemsKeepToWeights: an operator takes a route's services away by a weight of 0.
+func TestLongItemsKeepToWeights(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 0}}}
+	n := newNode()
+	n.apply(start, &port.RouteTable{Version: 1, Routes: []port.Route{*route}, Services: []port.Service{{Name: "s"}}})
+	n.endpoints.Put(port.ReplicaRecord{ID: "a", Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+	for _, long := range []bool{false, true} {
+		if chosen := n.place(start.Add(time.Millisecond), batch.Placement{Route: route, Model: "m", Long: long}); chosen != nil {
+			t.Errorf("long %t: %s is chosen, though its service has no weight", long, chosen.ID)
+		}
+	}
+}
