Lengths are kept of 64 models at the most

Cause: every look at a model's lengths made an entry, and none was ever dropped. A batch job may name any model, new ones are trained all the time, and each that ran takes some 6 KB (384 texts of two words). Ruled out: dropping those without a job of late: a trainer that pauses would begin anew. Measured: TestLengthsOfFewModelsAreKept fails with the bound taken out. Conclusion: a look makes no entry; the model learned of longest ago gives way.

--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -272,7 +272,7 @@
 	delete(j.owned, id)
 	j.options.Queue.Log(event.JobDropped, "job", id, "reason", reason)
 	if job.head.Ended {
-		job.learnLengths()
+		job.learnLengths(now)
 	}
 	job.closing = true
 	job.stopRuns(now)
--- a/internal/version/batch/length.go
+++ b/internal/version/batch/length.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 )
@@ -16,6 +17,8 @@
 	// nearLongest is the part of the longest text from which on a text counts as one of the
 	// longest.
 	nearLongest = 0.9
+	// modelsKept is of how many models lengths are kept, some 6 KB each.
+	modelsKept = 64
 )
 
 // textLength is what a finished text came to.
@@ -31,6 +34,8 @@
 type lengths struct {
 	finished []textLength
 	next     int
+	// learnedAt is when they last took the texts of a job.
+	learnedAt time.Time
 }
 
 // learn takes a finished text; the oldest is forgotten.
@@ -99,8 +104,8 @@
 
 // learnLengths takes the texts of a job that is over. Before that its finished texts are its
 // short ones; those that it was ended without have at least the events made so far.
-func (o *ownedJob) learnLengths() {
-	known := o.jobs.lengthsOf(o.job.Model)
+func (o *ownedJob) learnLengths(now time.Time) {
+	known := o.jobs.keepLengths(now, o.job.Model)
 	for i := range o.items {
 		one := &o.items[i]
 		if events := max(one.length, len(one.events)+len(one.progress)); events > 0 {
@@ -111,10 +116,23 @@
 
 // lengthsOf returns the lengths of a model's texts.
 func (j *Jobs) lengthsOf(model string) *lengths {
-	known := j.lengths[model]
-	if known == nil {
-		known = &lengths{}
-		j.lengths[model] = known
+	if known := j.lengths[model]; known != nil {
+		return known
+	}
+	return &lengths{}
+}
+
+// keepLengths returns the lengths of a model whose job is over, in the place of those learned longest
+// ago if they are of too many.
+func (j *Jobs) keepLengths(now time.Time, model string) *lengths {
+	known := j.lengthsOf(model)
+	known.learnedAt = now
+	j.lengths[model] = known
+	if len(j.lengths) > modelsKept {
+		oldest := slices.MinFunc(sortedKeys(j.lengths), func(a, b string) int {
+			return j.lengths[a].learnedAt.Compare(j.lengths[b].learnedAt)
+		})
+		delete(j.lengths, oldest)
 	}
 	return known
 }
--- a/internal/version/batch/length_test.go
+++ b/internal/version/batch/length_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -112,3 +113,19 @@
 		t.Errorf("%d events in the longest text, should be 90", got)
 	}
 }
+
+// TestLengthsOfFewModelsAreKept: jobs may name any model, and new ones are trained all the time.
+func TestLengthsOfFewModelsAreKept(t *testing.T) {
+	b := newBench("a", newStore())
+	for i := range modelsKept + 10 {
+		b.jobs.lengthsOf(fmt.Sprint("read", i))
+		o := &ownedJob{jobs: b.jobs, job: &doorstepv1.BatchJob{Model: fmt.Sprint("m", i)}, items: []item{{length: 10}}}
+		o.learnLengths(b.now.Add(time.Duration(i) * time.Second))
+	}
+	if got := len(b.jobs.lengths); got != modelsKept {
+		t.Errorf("lengths of %d models are kept, should be of %d", got, modelsKept)
+	}
+	if b.jobs.lengths["m9"] != nil || b.jobs.lengths["m10"] == nil {
+		t.Error("others are kept than those of late")
+	}
+}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -206,7 +206,7 @@
 	if o.head.complete() {
 		delete(o.jobs.owned, o.id)
 		o.jobs.options.Queue.Log(event.JobCompleted, "job", o.id, "total", o.head.Total)
-		o.learnLengths()
+		o.learnLengths(now)
 		return
 	}
 	o.keepHomes(now)
