--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -23,14 +23,20 @@
 }
 
 // Longest returns how many events the longest texts of the jobs of late have, by model, as the
-// owners of the newest tell it; models without such a job are left out.
+// owners of the newest tell it; models without such a job are left out. Of jobs accepted in the same
+// millisecond the longer texts count, whichever head comes first.
 func (j *Jobs) Longest(now time.Time) map[string]int64 {
 	longest, newest := map[string]int64{}, map[string]int64{}
 	for _, known := range j.heads {
-		if known.Model == "" || known.LongestEvents <= 0 || j.age(now, known.AcceptedAtMs) >= demandFor || known.AcceptedAtMs < newest[known.Model] {
+		if known.Model == "" || known.LongestEvents <= 0 || j.age(now, known.AcceptedAtMs) >= demandFor {
 			continue
 		}
-		longest[known.Model], newest[known.Model] = int64(known.LongestEvents), known.AcceptedAtMs
+		switch cmp.Compare(known.AcceptedAtMs, newest[known.Model]) {
+		case 0:
+			longest[known.Model] = max(longest[known.Model], int64(known.LongestEvents))
+		case 1:
+			longest[known.Model], newest[known.Model] = int64(known.LongestEvents), known.AcceptedAtMs
+		}
 	}
 	return longest
 }
