Replicas that load are not exchanged

Cause: an exchange takes the replicas that are furthest behind, which are also the first to be ordered to load. One with an order under way changed its group all the same, and had to load the other model right after: design 0017 says that an exchange costs no load more. Ruled out: evacuated, drained and leaving replicas: only serving ones are members. Measured: TestReplicasThatLoadStay fails with the mechanism taken out; TestExchangeEnds and TestVersionsOfLongTextsGoToFastReplicas pass unchanged. Conclusion: replicas with an order under way stay; they are exchanged at a later version.

--- a/internal/version/rollout/exchange.go
+++ b/internal/version/rollout/exchange.go
@@ -66,10 +66,12 @@
 	// longest is how many events the models' longest texts have, 0 where that is not known.
 	longest map[string]int64
 	nature  nature
+	// ordered are the replicas with an order under way.
+	ordered map[string]bool
 }
 
-// run lets groups exchange replicas. Only replicas that lack their model's newest version are
-// exchanged: these would be loaded next anyway, so that an exchange costs no load more. Each
+// run lets groups exchange replicas. Only replicas that lack their model's newest version and don't
+// load it are exchanged: these would be loaded next anyway, so that an exchange costs no load more. Each
 // goes on serving its former model until its version is too old.
 func (x *exchanges) run() {
 	if x.groups.shared {
@@ -142,12 +144,12 @@
 }
 
 // oldest returns the replica of one kind of a model's group that is furthest behind, nil if
-// all have the newest version; it holds the other model too.
+// all have the newest version or load; it holds the other model too.
 func (x *exchanges) oldest(model, other string, kind func(*endpoint.Endpoint) bool) *endpoint.Endpoint {
 	var found *endpoint.Endpoint
 	for _, e := range x.members {
 		_, holds := e.Versions[other]
-		if !holds || x.groups.modelOf[e.ID] != model || !kind(e) || e.Versions[model] >= x.targets[model] {
+		if !holds || x.groups.modelOf[e.ID] != model || !kind(e) || x.ordered[e.ID] || e.Versions[model] >= x.targets[model] {
 			continue
 		}
 		if found == nil || e.Versions[model] < found.Versions[model] {
--- a/internal/version/rollout/exchange_test.go
+++ b/internal/version/rollout/exchange_test.go
@@ -129,3 +129,19 @@
 		}
 	}
 }
+
+// TestReplicasThatLoadStay: the load that is under way would be for nothing.
+func TestReplicasThatLoadStay(t *testing.T) {
+	g, list, seen, targets := exchangeBench(1)
+	ordered := map[string]bool{}
+	for _, e := range list[:8] {
+		ordered[e.ID] = true
+	}
+	x := exchanges{groups: g, members: list, targets: targets, longest: map[string]int64{"a": 160, "b": 90}, nature: seen, ordered: ordered}
+	x.run()
+	for i, e := range list {
+		if want := []string{"a", "b"}[i/8]; g.modelOf[e.ID] != want {
+			t.Errorf("replica %s follows %s, should follow %s", e.ID, g.modelOf[e.ID], want)
+		}
+	}
+}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -129,13 +129,26 @@
 	r.groups.assign(serving, r.targets, demand)
 	r.groups.join(evacuated, r.targets, demand)
 	r.nature.note(now, serving)
-	exchange := exchanges{groups: &r.groups, members: serving, targets: r.targets, longest: r.options.Longest(now), nature: r.nature}
+	exchange := exchanges{
+		groups: &r.groups, members: serving, targets: r.targets, longest: r.options.Longest(now), nature: r.nature, ordered: r.underOrder(serving),
+	}
 	exchange.run()
 	atOnce := limit.atOnce(len(members))
 	loading = r.orderLoads(now, serving, loading, atOnce)
 	r.orderLoads(now, evacuated, loading, max(int(evacuatedLoads*float64(atOnce)), 1))
 }
 
+// underOrder returns the replicas with an order under way.
+func (r *Rollout) underOrder(members []*endpoint.Endpoint) map[string]bool {
+	ordered := map[string]bool{}
+	for _, e := range members {
+		if state := r.replicas[e.ID]; state != nil && state.ordered {
+			ordered[e.ID] = true
+		}
+	}
+	return ordered
+}
+
 // evacuatedLoads is the part of the loads at once up to which replicas of evacuated zones load:
 // what serves goes first, and a load that has begun takes its place for a second.
 const evacuatedLoads = 0.5
