A move looks for what the run will need

Cause: the look for a faster replica told neither the memory that the text takes nor the replicas that an item under suspicion must keep away from. So a run was stopped for a fast replica without room in its memory, or one it may not go to, and began anew at a slow one or waited. Measured: TestMovesLookForWhatTheRunNeeds fails with either taken out. Conclusion: the look asks for the same as the start that follows it.

--- a/internal/version/batch/move_test.go
+++ b/internal/version/batch/move_test.go
@@ -1,10 +1,15 @@
 package batch
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
 )
 
@@ -80,3 +85,24 @@
 		}
 	}
 }
+
+// TestMovesLookForWhatTheRunNeeds: a replica without the memory for the text, or one that the item must
+// not run at, is no reason to move it: it would begin anew at a slow one.
+func TestMovesLookForWhatTheRunNeeds(t *testing.T) {
+	b, runs := progressBench(t, 4, time.Second)
+	b.jobs.options.ExpectedTokens = func(*port.Route, http.Header, int) int { return 700 }
+	one := &b.jobs.owned["j"].items[0]
+	for i := range quarantine.CrashLimit - 1 {
+		b.jobs.options.Quarantine.Crashed(b.now, one.request, fmt.Sprint("gone-", i))
+	}
+	b.jobs.apart["taken"] = 1
+	var wanted Placement
+	b.jobs.options.Place = func(_ time.Time, got Placement) *endpoint.Endpoint {
+		wanted = got
+		return nil
+	}
+	runs[0].Progress(b.now, nil, 200*time.Millisecond)
+	if !wanted.Look || wanted.Tokens != 700 || !wanted.Exclude["taken"] {
+		t.Errorf("looked for %+v", wanted)
+	}
+}
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -152,7 +152,8 @@
 		return false
 	}
 	better := o.jobs.options.Place(now, Placement{
-		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Long: true, Paced: true, Look: true,
+		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion, Avoid: one.endpoint, Exclude: o.apartFrom(one), Long: true, Paced: true,
+		Look: true, Tokens: one.held.tokens,
 	})
 	if better == nil || better.Pace(now) == 0 {
 		return false
