Runs aren't moved to replicas that failed lately

Cause: the look for a faster replica fell back to ejected ones as the start of an item does, for which one is better than none. A run at a slow replica that nothing else could take was stopped for one that fails at once. Ruled out: evacuated, drained, leaving, cold, loading, too old ones, excluded ones and those outside the homes: no profile takes them, the one for the fastest endpoints included (TestLongItemsKeepToBounds, TestEveryChoiceKeepsHomes). Measured: TestMovesDontGoToAnEjectedReplica fails before ("ejected" chosen by a look) and passes now. Conclusion: a look takes no ejected replica; a start does as before.

--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -128,6 +128,10 @@
 	if chosen, later := n.pickCold(profile, *query, order); chosen != nil || later {
 		return chosen
 	}
+	if query.Look {
+		// A run that goes on is not moved to where it would fail at once.
+		return nil
+	}
 	query.AllowEjected = true
 	return n.pickInOrder(profile, query, order)
 }
--- a/internal/process/cluster/place_test.go
+++ b/internal/process/cluster/place_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/version/batch"
 )
 
@@ -151,3 +152,65 @@
 		}
 	}
 }
+
+// TestLongItemsKeepToBounds: whatever keeps a replica from other items keeps it from long ones, though
+// it is the fastest and idle.
+func TestLongItemsKeepToBounds(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+	for _, c := range []struct {
+		name string
+		bar  func(fast *endpoint.Endpoint, wanted *batch.Placement)
+		want string
+	}{
+		{"nothing bars it", func(*endpoint.Endpoint, *batch.Placement) {}, "fast"},
+		{"it leaves", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.Draining = true }, "slow"},
+		{"drained", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.Held = true }, "slow"},
+		{"its zone is evacuated", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.SetEvacuated(start, true) }, "slow"},
+		{"cold", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.ColdUntil = start.Add(time.Second) }, "slow"},
+		{"ejected", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.Failed(start); fast.Failed(start) }, "slow"},
+		{"it loads", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.SetLoading("m", start.Add(time.Second)) }, "slow"},
+		{"too old a version", func(fast *endpoint.Endpoint, _ *batch.Placement) { fast.Versions["m"] = 0 }, "slow"},
+		{"the item was there", func(_ *endpoint.Endpoint, wanted *batch.Placement) { wanted.Avoid = "fast" }, "slow"},
+		{"another runs apart there", func(_ *endpoint.Endpoint, wanted *batch.Placement) { wanted.Exclude = map[string]bool{"fast": true} }, "slow"},
+	} {
+		n := newNode()
+		n.apply(start, &port.RouteTable{Version: 1, Routes: []port.Route{*route}, Services: []port.Service{{
+			Name: "s", Cold: &port.ColdStart{Lasts: coldLasts, PerSecond: coldPerSecond},
+		}}})
+		for _, id := range []string{"fast", "slow"} {
+			n.endpoints.Put(port.ReplicaRecord{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+		}
+		fast := n.endpoints.Find("fast")
+		fast.LearnPace(start, 50*time.Millisecond)
+		n.endpoints.Find("slow").LearnPace(start, 65*time.Millisecond)
+		wanted := batch.Placement{Route: route, Model: "m", MinVersion: 1, Long: true, Look: true}
+		c.bar(fast, &wanted)
+		if chosen := n.place(start.Add(time.Millisecond), wanted); chosen == nil || chosen.ID != c.want {
+			t.Errorf("%s: %v, should be %s", c.name, chosen, c.want)
+		}
+	}
+}
+
+// TestMovesDontGoToAnEjectedReplica: one that failed lately is better than none for an item that waits,
+// but not for one that runs.
+func TestMovesDontGoToAnEjectedReplica(t *testing.T) {
+	route := &port.Route{Name: "r", Kind: port.RouteBatch, Backends: []port.Backend{{Service: "s", Weight: 1}}}
+	n := newNode()
+	n.apply(start, &port.RouteTable{Version: 1, Routes: []port.Route{*route}, Services: []port.Service{{Name: "s"}}})
+	for _, id := range []string{"slow", "ejected"} {
+		n.endpoints.Put(port.ReplicaRecord{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+	}
+	ejected := n.endpoints.Find("ejected")
+	ejected.LearnPace(start, 50*time.Millisecond)
+	ejected.Failed(start)
+	ejected.Failed(start)
+	for look, want := range map[bool]string{true: "", false: "ejected"} {
+		got := ""
+		if chosen := n.place(start.Add(time.Millisecond), batch.Placement{Route: route, Model: "m", Avoid: "slow", Long: true, Look: look}); chosen != nil {
+			got = chosen.ID
+		}
+		if got != want {
+			t.Errorf("look %t: %q, should be %q", look, got, want)
+		}
+	}
+}
