Cancelled jobs teach no lengths

Cause: when a job was over all its texts were learned with the events that they had, also those of a job that was ended soon after its start. Two such jobs filled the lengths (384 texts) with a few events each, so that the longest text of the model looked short: groups would have exchanged replicas the wrong way, and nothing counted as long. Ruled out: learning finished texts alone: a client that waits for a part of the groups ends the job while the longest are made (TestEndedJobsLengthsAreLearned, unchanged). Measured: TestCancelledJobsTeachNoLengths fails before ("48 texts are known, the longest of 5 events"). Conclusion: a job is learned of if the half of its texts were whole.

--- a/internal/version/batch/length.go
+++ b/internal/version/batch/length.go
@@ -103,15 +103,27 @@
 }
 
 // learnLengths takes the texts of a job that is over. Before that its finished texts are its
-// short ones; those that it was ended without have at least the events made so far.
+// short ones; those that it was ended without have at least the events made so far. A job that was
+// ended before the half of its texts were whole tells nothing: most were cut for no reason of theirs.
 func (o *ownedJob) learnLengths(now time.Time) {
-	known := o.jobs.keepLengths(now, o.job.Model)
+	var texts []textLength
+	finished := 0
 	for i := range o.items {
 		one := &o.items[i]
+		if one.state >= itemFinished {
+			finished++
+		}
 		if events := max(one.length, len(one.events)+len(one.progress)); events > 0 {
-			known.learn(textLength{hint: one.hint, events: events})
+			texts = append(texts, textLength{hint: one.hint, events: events})
 		}
 	}
+	if 2*finished < len(o.items) || len(texts) == 0 {
+		return
+	}
+	known := o.jobs.keepLengths(now, o.job.Model)
+	for _, one := range texts {
+		known.learn(one)
+	}
 }
 
 // lengthsOf returns the lengths of a model's texts.
