Ownership over a distance: one region with a name, unknown homes, owners that leave; no halves in the spread

Cause: (1) "One region" was told by an empty region of the node, but platforms name the region also where there is one (DEPLOY: region=dakar): such deployments told owners' places, measured the store's distance and gave jobs away by it. Topology.Several decides now. (2) A node that comes back may know the heads before the configuration; jobs of its former life and those handed over wait for nobody, so it read contents that the homes keep from its region. It takes nothing until it knows a configuration (several regions only). (3) An owner that hands over tells the new regions in the head before it has left, and was given new jobs meanwhile by their regions alone; its place counts as well. (5) batch.Homes told Region and Several beside batch.Options.Topology: the topology alone is left.

Ruled out: a wait instead of (2), as it guesses; leaving the regions of the head alone out of (3), as an owner that does not tell its place may lie anywhere.

Conclusion: deployments of one region write the heads of before.

--- a/internal/process/cluster/homes.go
+++ b/internal/process/cluster/homes.go
@@ -37,7 +37,7 @@
 // jobHomes tells the batch jobs where they may be kept and run.
 func (n *Node) jobHomes() batch.Homes {
 	return batch.Homes{
-		Region: n.options.Topology.Region, Several: n.options.Topology.Several(), Of: n.Homes, Served: n.Served,
+		Of: n.Homes, Served: n.Served, Known: func() bool { return n.routes != nil },
 		Named: func(name string) *port.Route {
 			if n.routes == nil {
 				return nil
--- a/internal/process/cluster/homes_test.go
+++ b/internal/process/cluster/homes_test.go
@@ -82,3 +82,14 @@
 		t.Error("the southern replica lies elsewhere, the northern does not")
 	}
 }
+
+// TestHomesAreKnownWithTheConfiguration: before that a node can't tell where jobs may be.
+func TestHomesAreKnownWithTheConfiguration(t *testing.T) {
+	n := New(start, Options{Name: "n", Incarnation: 1, Decoder: decoder{}, OrderPause: time.Second})
+	if n.jobHomes().Known() {
+		t.Error("known without a configuration")
+	}
+	if n, _ := homesNode(); !n.jobHomes().Known() {
+		t.Error("not known with one")
+	}
+}
--- a/internal/process/cluster/latency.go
+++ b/internal/process/cluster/latency.go
@@ -45,7 +45,7 @@
 
 // distance returns how long calls to the store take of late, 0 in a deployment of one region.
 func (n *Node) distance() time.Duration {
-	if n.options.Topology.Region == "" {
+	if !n.options.Topology.Several() {
 		return 0
 	}
 	return n.latency.longest
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -102,7 +102,7 @@
 	}
 	a := &acceptance{jobs: j, job: job, startAt: now, pause: firstPause, done: done}
 	records := chunkRecords(content, func(chunk int) port.RecordKey { return contentKey(job.Id, chunk) })
-	owner := j.assign(now, job.Model, ownerRegions(homes, j.options.Homes.Region))
+	owner := j.assign(now, job.Model, ownerRegions(homes, j.options.Topology.Region))
 	a.head = &doorstepv1.BatchJobHead{
 		Owner: owner.name, OwnerIncarnation: owner.incarnation,
 		Total: int32(len(job.Items)), ListedItems: make([]byte, (len(job.Items)+7)/8),
--- a/internal/version/batch/assign.go
+++ b/internal/version/batch/assign.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		unlisted[ownerID{known.Owner, known.OwnerIncarnation}] += known.Total - known.Listed
-		if now.Sub(known.changedAt) <= freshOwner && ownerWithin(known.BatchJobHead, regions) && (newest == nil || known.AcceptedAtMs > newest.AcceptedAtMs) {
+		if now.Sub(known.changedAt) <= freshOwner && j.ownerWithin(known.BatchJobHead, regions) && (newest == nil || known.AcceptedAtMs > newest.AcceptedAtMs) {
 			newest = known
 		}
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
@@ -19,7 +20,7 @@
 	beatEvery = 350 * time.Millisecond
 	// takeoverAfter is how long a head must stand unchanged before another node takes
 	// the job, longer by latencies of the store, as an owner's beats come that much
-	// later; takeoverSpread spreads the nodes that would (preference.go).
+	// later; takeoverSpread spreads the nodes that would.
 	takeoverAfter  = 950 * time.Millisecond
 	latencies      = 4
 	takeoverSpread = 250 * time.Millisecond
@@ -102,7 +103,7 @@
 	if known.Owner == j.options.Self {
 		return true
 	}
-	spread := j.takeoverSpread(id, known.BatchJobHead)
+	spread := j.spread(id)
 	unchanged := now.Sub(known.changedAt)
 	if known.Owner == "" {
 		return unchanged >= spread/2
@@ -112,6 +113,11 @@
 	return min(observed.Sub(known.changedAt), observed.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread
 }
 
+// spread is how long this node leaves a job to others that would take it.
+func (j *Jobs) spread(id string) time.Duration {
+	return time.Duration(xxhash.Sum64String(id+"/"+j.options.Self) % uint64(takeoverSpread))
+}
+
 func (j *Jobs) take(now time.Time, id string, known *head) {
 	known.mutating = true
 	former := known.Owner
--- a/internal/version/batch/preference.go
+++ b/internal/version/batch/preference.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/process/event"
 )
@@ -18,7 +16,7 @@
 
 // distance returns how long calls to the store take of late, 0 in a deployment of one region.
 func (j *Jobs) distance() time.Duration {
-	if j.options.Topology.Region == "" {
+	if !j.options.Topology.Several() {
 		return 0
 	}
 	return j.options.Latency()
@@ -26,7 +24,7 @@
 
 // place tells the other nodes where this one stands, nil in a deployment of one region.
 func (j *Jobs) place() *doorstepv1.OwnerPlace {
-	if j.options.Topology.Region == "" {
+	if !j.options.Topology.Several() {
 		return nil
 	}
 	return &doorstepv1.OwnerPlace{Zone: j.options.Topology.Zone, StoreLatencyMs: int32(j.distance().Milliseconds())}
@@ -77,7 +75,7 @@
 	}
 	consider(j.self(), j.distance())
 	for _, known := range j.heads {
-		if known.Owner != "" && known.OwnerPlace != nil && !known.Ended && j.observing && now.Sub(known.changedAt) <= freshOwner && ownerWithin(known.BatchJobHead, regions) {
+		if known.Owner != "" && known.OwnerPlace != nil && !known.Ended && j.observing && now.Sub(known.changedAt) <= freshOwner && j.ownerWithin(known.BatchJobHead, regions) {
 			consider(ownerID{known.Owner, known.OwnerIncarnation}, storeLatency(known.OwnerPlace))
 		}
 	}
@@ -87,24 +85,6 @@
 	return best
 }
 
-// takeoverSpread is how long this node leaves a job to others that would take it. Nodes of the
-// owner's region come in the first half, as the owner's connections, its trainer and what it read
-// are near them; the others in the second, by which they have heard of a take-over within the
-// region. So a region that is silent as a whole delays none beyond the spread of today.
-func (j *Jobs) takeoverSpread(id string, state *doorstepv1.BatchJobHead) time.Duration {
-	drawn := xxhash.Sum64String(id + "/" + j.options.Self)
-	region := j.options.Topology.RegionOf(state.OwnerPlace.GetZone())
-	if region == "" || j.options.Topology.Region == "" {
-		return time.Duration(drawn % uint64(takeoverSpread))
-	}
-	const half = takeoverSpread / 2
-	spread := time.Duration(drawn % uint64(half))
-	if region != j.options.Topology.Region {
-		spread += half
-	}
-	return spread
-}
-
 // logAcross tells of a take-over from an owner of another region.
 func (j *Jobs) logAcross(id, former string, place *doorstepv1.OwnerPlace) {
 	region := j.options.Topology.RegionOf(place.GetZone())
--- a/internal/version/batch/regions.go
+++ b/internal/version/batch/regions.go
@@ -12,13 +12,12 @@
 // Homes tell where jobs may be kept and run, by the configuration in force. The zero value allows any
 // region.
 type Homes struct {
-	// Region is this node's own. Several says that the deployment has more than one.
-	Region  string
-	Several bool
 	// Of returns the homes of a route's and a tenant's requests; the route may be nil.
 	Of func(route *port.Route, tenant string) port.Homes
 	// Named returns the route of a name, nil when there is none.
 	Named func(name string) *port.Route
+	// Known reports whether there is a configuration to go by; nil if there always is.
+	Known func() bool
 	// Served reports whether there is a replica in the homes of a route's and a tenant's requests.
 	Served func(route *port.Route, tenant string) bool
 }
@@ -34,10 +33,13 @@
 	return h.Served == nil || route == nil || h.Served(route, tenant)
 }
 
+func (h Homes) known() bool { return h.Known == nil || h.Known() }
+
 // here reports whether this node may hold a job's content: it lies in a home, or in the region in
 // which the client handed the job in.
-func (h Homes) here(homes port.Homes, acceptedIn string) bool {
-	return homes.Allow(h.Region) || h.Region != "" && h.Region == acceptedIn
+func (j *Jobs) here(homes port.Homes, acceptedIn string) bool {
+	region := j.options.Topology.Region
+	return homes.Allow(region) || region != "" && region == acceptedIn
 }
 
 // ownerRegions returns the regions whose nodes may own a job, nil for any.
@@ -54,33 +56,41 @@
 
 // bindRegions fixes in a new head where the job may be owned.
 func (j *Jobs) bindRegions(head *doorstepv1.BatchJobHead, job *doorstepv1.BatchJob, homes port.Homes) {
-	h := j.options.Homes
-	if h.Several || homes.Bound {
-		head.Route, head.AcceptedIn = job.Route, h.Region
+	topology := j.options.Topology
+	if topology.Several() || homes.Bound {
+		head.Route, head.AcceptedIn = job.Route, topology.Region
 	}
-	head.Regions = ownerRegions(homes, h.Region)
+	head.Regions = ownerRegions(homes, topology.Region)
 }
 
 // mayOwn reports whether this node may read and run a job: its head and the configuration in force
-// both bind, as either may be the newer.
+// both bind, as either may be the newer. A node that has just started, and knows the heads before the
+// configuration, takes nothing: its former life's jobs and those that are handed over wait for nobody.
 func (j *Jobs) mayOwn(head *doorstepv1.BatchJobHead) bool {
-	h := j.options.Homes
-	if len(head.Regions) > 0 && (h.Region == "" || !slices.Contains(head.Regions, h.Region)) {
+	h, topology := j.options.Homes, j.options.Topology
+	if len(head.Regions) > 0 && (topology.Region == "" || !slices.Contains(head.Regions, topology.Region)) {
+		return false
+	}
+	if topology.Several() && !h.known() {
 		return false
 	}
 	var route *port.Route
 	if h.Named != nil && head.Route != "" {
 		route = h.Named(head.Route)
 	}
-	return h.here(h.of(route, head.Tenant), head.AcceptedIn)
+	return j.here(h.of(route, head.Tenant), head.AcceptedIn)
 }
 
-// ownerWithin reports whether the owner of a job surely lies in regions, of which nil are any.
-func ownerWithin(known *doorstepv1.BatchJobHead, regions []string) bool {
+// ownerWithin reports whether the owner of a job surely lies in regions, of which nil are any. An owner
+// that hands its job over tells the new regions before it has left: its place counts as well.
+func (j *Jobs) ownerWithin(known *doorstepv1.BatchJobHead, regions []string) bool {
 	if len(regions) == 0 {
 		return true
 	}
 	outside := func(region string) bool { return !slices.Contains(regions, region) }
+	if region := j.options.Topology.RegionOf(known.OwnerPlace.GetZone()); region != "" && outside(region) {
+		return false
+	}
 	return len(known.Regions) > 0 && !slices.ContainsFunc(known.Regions, outside)
 }
 
@@ -95,8 +105,8 @@
 		return
 	}
 	h := o.jobs.options.Homes
-	if !h.here(homes, o.head.AcceptedIn) {
-		o.jobs.options.Queue.Log(event.JobLeavesRegion, "job", o.id, "region", h.Region, "homes", homes.Regions)
+	if !o.jobs.here(homes, o.head.AcceptedIn) {
+		o.jobs.options.Queue.Log(event.JobLeavesRegion, "job", o.id, "region", o.jobs.options.Topology.Region, "homes", homes.Regions)
 		o.release(now)
 		return
 	}
