The first beat is paced from the acceptance's sending

Cause: beats are paced from their sending, but a new owner counted from the answer to the write that gave it the job: with calls of 700 ms the first two writes reached the store 1,050 ms apart, further than the 950 ms and four own calls that a node near the store waits.

Ruled out: counting from the start of the acceptance, as refused tries put nothing into the store.

Measured: TestTheFirstBeatIsPacedFromTheAcceptance fails with the beat counted from the answer (0 writes follow it). A job that is taken over or assigned counts from when its head was seen to change.

--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -59,12 +59,14 @@
 
 // acceptance is one client's try to hand a job in.
 type acceptance struct {
-	jobs     *Jobs
-	job      *doorstepv1.BatchJob
-	head     *doorstepv1.BatchJobHead
-	early    [][]port.Record
-	last     []port.Record
-	startAt  time.Time
+	jobs    *Jobs
+	job     *doorstepv1.BatchJob
+	head    *doorstepv1.BatchJobHead
+	early   [][]port.Record
+	last    []port.Record
+	startAt time.Time
+	// sentAt is when the head was last sent to the store.
+	sentAt   time.Time
 	pause    time.Duration
 	unsure   bool
 	done     func(now time.Time, outcome Outcome)
@@ -149,6 +151,7 @@
 }
 
 func (a *acceptance) submit(now time.Time) {
+	a.sentAt = now
 	if len(a.early) > 0 {
 		a.jobs.commit(port.RecordTransaction{Puts: a.early[0]}, func(now time.Time, result port.RecordResult) {
 			if result.Status == port.RecordDone {
@@ -175,7 +178,7 @@
 	switch result.Status {
 	case port.RecordDone:
 		if a.jobs.mine(a.head) {
-			a.jobs.begin(now, a.job, a.head, result.Revision, false)
+			a.jobs.begin(now, a.job, a.head, result.Revision, a.sentAt, false)
 		} else {
 			a.jobs.setHead(now, a.job.Id, a.head, result.Revision)
 		}
@@ -203,7 +206,7 @@
 		a.jobs.OnHead(now, record)
 		known := a.jobs.heads[a.job.Id]
 		if known != nil && repeated(known.BatchJobHead, a.job) == Done && a.jobs.mine(known.BatchJobHead) && a.jobs.owned[a.job.Id] == nil && !known.Ended {
-			a.jobs.begin(now, a.job, known.BatchJobHead, known.revision, false)
+			a.jobs.begin(now, a.job, known.BatchJobHead, known.revision, a.sentAt, false)
 		}
 	}
 }
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -156,12 +156,13 @@
 		if former == "" {
 			j.options.Queue.Log(event.JobAssigned, "job", id, "listed", current.Listed, "total", current.Total)
 		}
-		j.begin(now, job, current.BatchJobHead, current.revision, former != "" || current.Beat > 0)
+		j.begin(now, job, current.BatchJobHead, current.revision, current.changedAt, former != "" || current.Beat > 0)
 	})
 }
 
-// begin starts the work of an owner; former says that there may have been one before.
-func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64, former bool) {
+// begin starts the work of an owner, whose head was last sent at sentAt, or seen to change then;
+// former says that there may have been one before.
+func (j *Jobs) begin(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64, sentAt time.Time, former bool) {
 	j.setHead(now, job.Id, state, revision)
 	if j.owned[job.Id] != nil {
 		// Two tries of one job were answered out of order: the work has begun.
@@ -169,7 +170,7 @@
 	}
 	owned := &ownedJob{
 		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
-		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, begunAt: now, writtenAt: now, sentAt: now, pause: firstPause,
+		prompts: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, begunAt: now, writtenAt: now, sentAt: sentAt, pause: firstPause,
 	}
 	j.owned[job.Id] = owned
 	owned.prepare(now)
--- a/internal/version/batch/preference_test.go
+++ b/internal/version/batch/preference_test.go
@@ -145,6 +145,29 @@
 	}
 }
 
+// TestTheFirstBeatIsPacedFromTheAcceptance: the answer to an acceptance is under way for 700 ms; the next
+// write goes out with it. Had it waited for as long as between two beats, they would have reached the
+// store 1,050 ms apart.
+func TestTheFirstBeatIsPacedFromTheAcceptance(t *testing.T) {
+	b := newBench("a", newStore())
+	b.jobs.Accept(b.now, newJob("j", 1), func(time.Time, Outcome) {})
+	for _, one := range b.queue.Take() {
+		if commit, ok := one.(task.Commit); ok {
+			b.now = b.now.Add(700 * time.Millisecond)
+			commit.Done(b.now, b.store.Commit(b.now, commit.Transaction))
+		}
+	}
+	beats := 0
+	for _, one := range b.queue.Take() {
+		if _, ok := one.(task.Commit); ok {
+			beats++
+		}
+	}
+	if beats != 1 {
+		t.Errorf("%d writes of the head follow the answer at once", beats)
+	}
+}
+
 // TestBeatsArePacedFromTheirSending: writes that are under way for 700 ms reach the store no
 // further apart than another node waits. With beats paced from the answer they came 1,050 ms apart,
 // and a node near the store took the job of an owner that lived.
