One region dials and repeats as before

Cause: upstream gave each call's new connection a third of the call's time, also the control calls of 0.9 s (0.3 instead of 0.7 s) and callers in deployments of one region, and watches jittered the pause after a failed call there (up to one and a half times the pause of before). Both are for regions that are cut off as a whole.

Ruled out: a bound by kind of call, as a control call behind a cut link gains nothing by waiting either.

Conclusion: both apply where the topology has several regions.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. A call with little time left gives it one
-	// part of it in dialParts, but no less than leastDial: what was not sent may be tried at
+	// dialTimeout bounds the opening of a connection. With SharesTime a call with little time left
+	// gives it one part of it in dialParts, but no less than leastDial: what was not sent may be tried at
 	// another replica, and behind a cut link no connection comes up, however long one waits (the
 	// kernel asks again after a second). A caller that waits 1.2 s came to its second replica after
 	// 0.7 s, and did not come to a third; it comes there after 0.4 s and 0.67 s.
@@ -89,6 +89,9 @@
 	// OnConnect, unless nil, is told how long it took to open each connection for a call. It is set
 	// before use.
 	OnConnect func(address string, took time.Duration)
+	// SharesTime is set, before use, where whole regions may be cut off: a call leaves most of its time
+	// for another replica if no connection comes up.
+	SharesTime bool
 
 	mu    sync.Mutex
 	idle  map[string][]*connection
@@ -282,7 +285,7 @@
 	c.opens++
 	c.mu.Unlock()
 	dialer := net.Dialer{
-		Timeout:         dialWithin(ctx),
+		Timeout:         c.dialWithin(ctx),
 		Control:         setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
@@ -290,9 +293,9 @@
 }
 
 // dialWithin returns how long a connection may take to come up.
-func dialWithin(ctx context.Context) time.Duration {
+func (c *Client) dialWithin(ctx context.Context) time.Duration {
 	deadline, bounded := ctx.Deadline()
-	if !bounded {
+	if !bounded || !c.SharesTime {
 		return dialTimeout
 	}
 	return min(dialTimeout, max(time.Until(deadline)/dialParts, leastDial))
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -171,7 +171,7 @@
 	a.acts, a.endActs = context.WithCancel(base)
 	a.log = newEventLog(options.Log, func() time.Duration { return time.Duration(a.clockAhead.Load()) + a.since(a.startedAt) })
 	a.metrics = newMetrics(a)
-	a.measureConnections()
+	a.spanRegions()
 	a.steps = a.newSteps()
 	a.trainers = a.newTrainerMux()
 	a.node = cluster.New(a.startedAt, cluster.Options{
--- a/internal/process/agent/region.go
+++ b/internal/process/agent/region.go
@@ -33,11 +33,13 @@
 	}
 }
 
-// measureConnections has the node learn from new connections how far other regions are.
-func (a *Agent) measureConnections() {
+// spanRegions has the node learn from new connections how far other regions are, and leave time for
+// replicas elsewhere, as the way to a whole region may be cut.
+func (a *Agent) spanRegions() {
 	if !a.settings.Topology().Several() {
 		return
 	}
+	a.upstream.SharesTime = true
 	a.upstream.OnConnect = func(address string, took time.Duration) {
 		a.do(func(time.Time) { a.node.NoteConnection(address, took) })
 	}
--- a/internal/process/cluster/latency.go
+++ b/internal/process/cluster/latency.go
@@ -43,12 +43,13 @@
 // Latency returns how long calls to the store take of late: the longest of the last few.
 func (n *Node) Latency() time.Duration { return n.latency.longest }
 
-// distance returns how long calls to the store take of late, 0 in a deployment of one region.
-func (n *Node) distance() time.Duration {
+// storeDistance returns what tells how long calls to the store take of late, nil in a deployment of one
+// region.
+func (n *Node) storeDistance() func() time.Duration {
 	if !n.options.Topology.Several() {
-		return 0
+		return nil
 	}
-	return n.latency.longest
+	return n.Latency
 }
 
 // tickLatency tells of the store's distance when it has changed much.
--- a/internal/process/cluster/latency_test.go
+++ b/internal/process/cluster/latency_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
 )
 
 // TestLatencyIsTold: the log tells of the store's distance when that changes much, not of a near
@@ -30,3 +32,17 @@
 		t.Error("a jump is told, and two within a moment once")
 	}
 }
+
+// TestOneRegionHasNoDistance: a region that has a name is still one region.
+func TestOneRegionHasNoDistance(t *testing.T) {
+	one := port.Topology{Zone: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "north"}}
+	for _, c := range []struct {
+		topology port.Topology
+		told     bool
+	}{{port.Topology{Zone: "a"}, false}, {one, false}, {port.Topology{Zone: "a", Region: "north", Regions: map[string]string{"a": "north", "b": "south"}}, true}} {
+		n := New(start, Options{Name: "n", Incarnation: 1, Decoder: decoder{}, OrderPause: time.Second, Topology: c.topology})
+		if told := n.storeDistance() != nil; told != c.told {
+			t.Errorf("%+v: distance told %t", c.topology, told)
+		}
+	}
+}
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -37,7 +37,7 @@
 func (n *Node) watchTables() {
 	for _, table := range n.options.Decoder.DeploymentTables() {
 		options := recordwatch.Options{
-			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(), Distance: n.distance,
+			Table: table, Partitions: []string{""}, Queue: n.queue, Jitter: n.random.Float64(), Distance: n.storeDistance(),
 			Wait: configurationWait, Reread: configurationReread,
 			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
 			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
@@ -55,7 +55,7 @@
 		partitions = append(partitions, batch.PartitionName(number))
 	}
 	n.shared = recordwatch.New(recordwatch.Options{
-		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(), Distance: n.distance,
+		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(), Distance: n.storeDistance(),
 		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
 		OnList: n.onSharedList, OnChange: n.onShared, OnHealth: n.onSharedHealth,
 	})
--- a/internal/process/recordwatch/distance_test.go
+++ b/internal/process/recordwatch/distance_test.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// TestOneRegionRepeatsOnTime: without a distance a failed call is repeated after the plain pause.
+func TestOneRegionRepeatsOnTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	queue := &task.Queue{}
+	w := newWatch(queue, 1, 0)
+	w.options.Distance = nil
+	w.Tick(start)
+	nextCall(queue).(task.Range).Done(start, port.RecordResult{Status: port.RecordUnknown})
+	if got := w.nextAt.Sub(start); got != firstPause {
+		t.Errorf("after %s", got)
+	}
+}
+
 // TestNodesComeBackApart: watches that lose their calls at one moment, as those of a region that is
 // cut off do, don't come back at one.
 func TestNodesComeBackApart(t *testing.T) {
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -40,9 +40,10 @@
 	// MostGather with each call that the store refuses at first: all nodes share its budget,
 	// so each finds the pace that it bears. A watch whose two are equal yields to none.
 	Gather, MostGather time.Duration
-	// Jitter, from 0 to 1, spreads the nodes' calls.
+	// Jitter, from 0 to 1, spreads the nodes' calls: those that follow a refusal, and with a Distance also
+	// those that follow a failure.
 	Jitter float64
-	// Distance returns how long calls to the store take of late; nil, or 0, where it is near.
+	// Distance returns how long calls to the store take of late; nil in a deployment of one region.
 	Distance func() time.Duration
 	// OnList takes the whole table, OnChange records that changed.
 	OnList   func(now time.Time, records []port.Record)
@@ -258,7 +259,10 @@
 		w.Tick(now)
 		return
 	}
-	w.nextAt = now.Add(w.jittered())
+	w.nextAt = now.Add(w.pause)
+	if w.options.Distance != nil {
+		w.nextAt = now.Add(w.jittered())
+	}
 	w.pause = min(2*w.pause, longestPause)
 	if w.healthy {
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(status), "revision", w.after)
