--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -24,8 +24,8 @@
 	// Name is the node's name, Zone its zone.
 	Name string `koanf:"name" validate:"required"`
 	Zone string `koanf:"zone" validate:"required"`
-	// Region is the node's region, Zones tell that of each zone; empty for a deployment of one
-	// region.
+	// Region is the node's region, Zones tell that of each zone; both may be empty in a deployment of
+	// one region.
 	Region string       `koanf:"region" validate:"required_with=Zones"`
 	Zones  []ZoneRegion `koanf:"zones" validate:"unique=Name,dive"`
 	// Listen are the addresses that the node listens on, host and port.
--- a/internal/soak/homes.go
+++ b/internal/soak/homes.go
@@ -22,7 +22,7 @@
 
 // kept returns what is wrong with a request that runs at a replica, empty for nothing.
 func (h *homes) kept(replica, zone, request string) string {
-	if _, bound := h.requests.Load(request); !bound || zone == "zone-a" {
+	if _, bound := h.requests.Load(request); !bound || zone == zones[0] {
 		return ""
 	}
 	return fmt.Sprintf("request %s runs at %s in %s, its home is %s", request, replica, zone, homeRegion)
