Evacuated homes: requests are refused early, not held

Cause: AllEvacuated looked at all of a route's replicas. Where those in a request's homes were evacuated and some elsewhere not, no replica could be chosen and the request was held to its end; a quarantine's trial was spent on none.

Ruled out: counting them as unserved (homes without a replica), as they are listed and come back.

Measured: TestEvacuatedHomes fails with replicas elsewhere counted.

Conclusion: one question, asked within the request's homes.

--- a/internal/process/cluster/evacuation.go
+++ b/internal/process/cluster/evacuation.go
@@ -62,12 +62,12 @@
 	return table == n.options.Decoder.DeploymentTables()[0]
 }
 
-// AllEvacuated reports whether a route has replicas that could serve, but for the evacuation of
-// their zones, and none that can.
-func (n *Node) AllEvacuated(route *port.Route) bool {
-	evacuated := false
+// AllEvacuated reports whether a route has replicas that could serve a tenant's requests, but for the
+// evacuation of their zones, and none that can. Replicas outside the requests' homes can't.
+func (n *Node) AllEvacuated(route *port.Route, tenant string) bool {
+	homes, evacuated := n.Homes(route, tenant), false
 	for _, backend := range route.Backends {
-		for _, e := range n.endpoints.Service(backend.Service) {
+		for _, e := range within(homes, n.endpoints.Service(backend.Service)) {
 			switch e.Withheld() {
 			case endpoint.NotWithheld:
 				return false
--- a/internal/process/cluster/evacuation_test.go
+++ b/internal/process/cluster/evacuation_test.go
@@ -103,7 +103,7 @@
 			if !slices.Equal(usable, c.usable) {
 				t.Errorf("requests go to %v, should to %v", usable, c.usable)
 			}
-			if got := n.AllEvacuated(&evacuationRoute); got != (len(c.usable) == 0) {
+			if got := n.AllEvacuated(&evacuationRoute, ""); got != (len(c.usable) == 0) {
 				t.Errorf("all are evacuated: %t", got)
 			}
 		})
@@ -152,7 +152,7 @@
 		n := newZonedNode()
 		n.onDeployment(start, "operator", records("operator", "a"), true)
 		c.change(n)
-		if got := n.AllEvacuated(&evacuationRoute); got != c.want {
+		if got := n.AllEvacuated(&evacuationRoute, ""); got != c.want {
 			t.Errorf("%s: %t, should be %t", c.name, got, c.want)
 		}
 	}
--- a/internal/process/cluster/homes_test.go
+++ b/internal/process/cluster/homes_test.go
@@ -93,3 +93,16 @@
 		t.Error("not known with one")
 	}
 }
+
+// TestEvacuatedHomes: where the replicas in the homes are evacuated, those elsewhere are no reason to
+// hold the request.
+func TestEvacuatedHomes(t *testing.T) {
+	n, route := homesNode()
+	n.endpoints.Find("southern").SetEvacuated(start, true)
+	if !n.AllEvacuated(route, "red") {
+		t.Error("a tenant whose homes are evacuated is held")
+	}
+	if n.AllEvacuated(route, "blue") {
+		t.Error("a tenant without homes is refused")
+	}
+}
