--- a/internal/process/cluster/homes_test.go
+++ b/internal/process/cluster/homes_test.go
@@ -82,3 +82,27 @@
 		t.Error("the southern replica lies elsewhere, the northern does not")
 	}
 }
+
+// TestHomesAreKnownWithTheConfiguration: before that a node can't tell where jobs may be.
+func TestHomesAreKnownWithTheConfiguration(t *testing.T) {
+	n := New(start, Options{Name: "n", Incarnation: 1, Decoder: decoder{}, OrderPause: time.Second})
+	if n.jobHomes().Known() {
+		t.Error("known without a configuration")
+	}
+	if n, _ := homesNode(); !n.jobHomes().Known() {
+		t.Error("not known with one")
+	}
+}
+
+// TestEvacuatedHomes: where the replicas in the homes are evacuated, those elsewhere are no reason to
+// hold the request.
+func TestEvacuatedHomes(t *testing.T) {
+	n, route := homesNode()
+	n.endpoints.Find("southern").SetEvacuated(start, true)
+	if !n.AllEvacuated(route, "red") {
+		t.Error("a tenant whose homes are evacuated is held")
+	}
+	if n.AllEvacuated(route, "blue") {
+		t.Error("a tenant without homes is refused")
+	}
+}
