Few replicas that are all evacuated follow all models

Cause: whether a service has too few replicas for groups was judged by those that serve; with none left it counted as enough, and each evacuated replica was dealt to one model and loaded no other. Ruled out: to have all follow all models then, which large services can't load in time. Measured: TestAllEvacuatedOfAFewReplicas fails before (six replicas, two models: version 1 of one model beside version 3 of the other), passes now. Conclusion: while nothing serves, the dealing goes by the evacuated replicas, which come back.

--- a/internal/version/rollout/evacuation_test.go
+++ b/internal/version/rollout/evacuation_test.go
@@ -100,3 +100,26 @@
 		t.Error("a replica that is added to an evacuated zone follows no model")
 	}
 }
+
+// TestAllEvacuatedOfAFewReplicas: where there are too few for groups, each follows all models, also while
+// all of them are evacuated.
+func TestAllEvacuatedOfAFewReplicas(t *testing.T) {
+	b := newBench(6)
+	for _, e := range b.endpoints {
+		e.Evacuated = true
+		e.Versions["other"], b.generators[e.ID].Versions["other"] = 1, 1
+	}
+	for version := int64(2); version <= 4; version++ {
+		for _, name := range []string{"m", "other"} {
+			b.rollout.Name(port.VersionTarget{Model: name, Version: version})
+		}
+		b.run(16 * time.Second)
+	}
+	for _, e := range b.endpoints {
+		for _, name := range []string{"m", "other"} {
+			if got := b.generators[e.ID].Version(b.now, name); got < 3 {
+				t.Errorf("%s has version %d of %s, should have 3", e.ID, got, name)
+			}
+		}
+	}
+}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -126,7 +126,12 @@
 	limit := r.limit(service)
 	loading := r.follow(now, members, limit)
 	serving, evacuated := withheldAs(members, endpoint.NotWithheld), withheldAs(members, endpoint.WithheldEvacuated)
-	r.groups.assign(serving, r.targets, demand)
+	dealt := serving
+	if len(serving) == 0 {
+		// Whether there are enough for groups goes by those that come back.
+		dealt = evacuated
+	}
+	r.groups.assign(dealt, r.targets, demand)
 	r.groups.join(evacuated, r.targets, demand)
 	r.nature.note(now, serving)
 	exchange := exchanges{groups: &r.groups, members: serving, targets: r.targets, longest: r.options.Longest(now), nature: r.nature}
