A granted cold replica is checked anew; claims of gone ones end

Cause: a claim takes a call to the store. What was chosen before was sent to afterwards though it had been ejected, or the route had got homes elsewhere; a replica that left meanwhile refused its caller though another could be had. A conflict claimed the window of a replica that was gone again, and to ask how long to wait kept an entry for its ID for good. With 16 claims under way each caller tried, and logged, all cold replicas in turn. Ruled out: to check nothing but the homes; one filter pipeline for both choices keeps them alike. Conclusion: the grant passes the filters of requests again; what can't be had by a claim is waited for.

--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -246,7 +246,7 @@
 	claimed := map[string]bool{}
 	for range claimsPerItem {
 		query.Permit = func(e *endpoint.Endpoint) bool {
-			return !claimed[e.ID] && n.cold.gate.Claimable(query.Now, e.ID, service, bound) && (guarded == nil || guarded(e))
+			return !claimed[e.ID] && n.cold.gate.Claimable(query.Now, e.ID, bound) && (guarded == nil || guarded(e))
 		}
 		chosen := profile.Pick(&query, n.endpoints.Service(service))
 		if chosen == nil {
@@ -257,6 +257,18 @@
 	}
 }
 
+// coldCall is the search of a cold replica for a caller's request.
+type coldCall struct {
+	route    *port.Route
+	tenant   string
+	query    *endpoint.Query
+	service  string
+	bound    coldstart.Bound
+	wanted   func() bool
+	done     func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)
+	comeBack time.Duration
+}
+
 // ClaimCold claims a cold replica for a caller's request for which Choose found none, if the service has
 // such a replica. done is told which one the request is to be sent to, nil with when to come back if
 // there is none; wanted reports then whether the caller still waits.
@@ -273,7 +285,9 @@
 		if endpoint.Requests.Pick(query, n.endpoints.Service(service)) == nil {
 			continue
 		}
-		n.claimForCaller(query, service, bound, bound.Lasts, wanted, done)
+		n.claimForCaller(&coldCall{
+			route: route, tenant: tenant, query: query, service: service, bound: bound, wanted: wanted, done: done, comeBack: bound.Lasts,
+		})
 		return true
 	}
 	return false
@@ -281,35 +295,45 @@
 
 // claimForCaller tries one cold replica after the other: that a window is used up shows in the answer to
 // a claim.
-func (n *Node) claimForCaller(query *endpoint.Query, service string, bound coldstart.Bound, comeBack time.Duration, wanted func() bool, done func(now time.Time, chosen *endpoint.Endpoint, comeBack time.Duration)) {
+func (n *Node) claimForCaller(call *coldCall) {
+	query, bound := call.query, call.bound
 	query.Permit = func(e *endpoint.Endpoint) bool {
-		wait := n.cold.gate.Wait(query.Now, e.ID, service, bound)
-		comeBack = min(comeBack, max(wait, 0), e.WarmAt(bound.Lasts).Sub(query.Now))
+		wait := n.cold.gate.Wait(query.Now, e.ID, bound)
+		call.comeBack = min(call.comeBack, max(wait, 0), e.WarmAt(bound.Lasts).Sub(query.Now))
 		return wait == 0
 	}
-	chosen := endpoint.Requests.Pick(query, n.endpoints.Service(service))
+	chosen := endpoint.Requests.Pick(query, n.endpoints.Service(call.service))
 	if chosen == nil {
-		done(query.Now, nil, comeBack)
+		call.done(query.Now, nil, call.comeBack)
 		return
 	}
-	n.cold.gate.Claim(query.Now, chosen.ID, service, bound, 1, func(now time.Time, granted bool) {
+	n.cold.gate.Claim(query.Now, chosen.ID, call.service, bound, 1, func(now time.Time, granted bool) {
+		query.Now = now
 		switch {
-		case !wanted() || granted && chosen.Leaving():
-			done(now, nil, 0)
-		case granted:
+		case !call.wanted():
+			call.done(now, nil, 0)
+		case granted && n.stillUsable(call, chosen):
 			n.noteSend(now, chosen, false)
-			done(now, chosen, 0)
+			call.done(now, chosen, 0)
 		default:
-			next := *query
-			next.Now = now
-			next.Exclude = map[string]bool{chosen.ID: true}
-			maps.Copy(next.Exclude, query.Exclude)
-			wait := n.cold.gate.Wait(now, chosen.ID, service, bound)
-			n.claimForCaller(&next, service, bound, min(comeBack, wait), wanted, done)
+			exclude := map[string]bool{chosen.ID: true}
+			maps.Copy(exclude, query.Exclude)
+			query.Exclude = exclude
+			call.comeBack = min(call.comeBack, n.cold.gate.Wait(now, chosen.ID, bound))
+			n.claimForCaller(call)
 		}
 	})
 }
 
+// stillUsable reports whether a replica may serve a request that had it claimed: the replica, its zone and
+// the configuration may have changed since. It may have become warm.
+func (n *Node) stillUsable(call *coldCall, chosen *endpoint.Endpoint) bool {
+	call.query.Homes = n.Homes(call.route, call.tenant)
+	query := *call.query
+	query.ColdLasts, query.OnlyCold, query.Permit = 0, false, nil
+	return n.endpoints.Find(chosen.ID) == chosen && endpoint.Requests.Pick(&query, []*endpoint.Endpoint{chosen}) != nil
+}
+
 // ColdFigures tell of cold replicas at this node.
 type ColdFigures struct {
 	coldstart.Figures
--- a/internal/process/cluster/cold_test.go
+++ b/internal/process/cluster/cold_test.go
@@ -9,6 +9,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/coldstart"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/settings"
 	"github.com/doorstep/doorstep/internal/process/task"
@@ -239,3 +240,55 @@
 		}
 	}
 }
+
+// TestAGrantIsCheckedAnew: while a claim is under way the replica or the configuration may change; then the
+// request goes to another replica, or to none.
+func TestAGrantIsCheckedAnew(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(c *coldNode, chosen *endpoint.Endpoint)
+		// other says that the second replica is to be had.
+		other bool
+	}{
+		{"it is ejected", func(c *coldNode, chosen *endpoint.Endpoint) {
+			for range 4 {
+				chosen.Failed(c.Now)
+			}
+		}, true},
+		{"it leaves", func(_ *coldNode, chosen *endpoint.Endpoint) { chosen.Draining = true }, true},
+		{"its record is gone", func(c *coldNode, chosen *endpoint.Endpoint) { c.removeReplica(c.Now, chosen.ID) }, true},
+		{"the route has homes elsewhere", func(c *coldNode, _ *endpoint.Endpoint) {
+			homed := *coldRoute(port.RouteBatch)
+			homed.AllowedRegions = []string{"south"}
+			c.apply(c.Now, &port.RouteTable{Version: 2, Routes: []port.Route{homed}, Services: c.routes.Services()})
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newColdNode()
+			n.own()
+			n.list("r0", coldLasts)
+			n.list("r1", coldLasts)
+			n.run(time.Second)
+			var got, first *endpoint.Endpoint
+			done := 0
+			n.do(func(now time.Time) {
+				n.ClaimCold(now, n.routes.Named("r"), "", "m", nil, func() bool { return true }, func(_ time.Time, chosen *endpoint.Endpoint, _ time.Duration) {
+					done++
+					got = chosen
+				})
+			})
+			// The store has granted the claim, and the node has not heard of it.
+			n.run(storeTakes / 2)
+			rows := n.store.Range(n.Now, port.RecordRange{Table: coldstart.Table, Partition: coldstart.Table}).Records
+			if len(rows) != 1 || done != 0 {
+				t.Fatalf("%d claims, %d answers", len(rows), done)
+			}
+			first = n.endpoints.Find(rows[0].Key)
+			c.change(n, first)
+			n.run(200 * time.Millisecond)
+			if done != 1 || got == first || (got != nil) != c.other {
+				t.Errorf("%d answers, %v is chosen after %v", done, got, first)
+			}
+		})
+	}
+}
--- a/internal/process/coldstart/coldstart_test.go
+++ b/internal/process/coldstart/coldstart_test.go
@@ -119,7 +119,7 @@
 					})
 					return
 				}
-				if gate.Claimable(now, "r", "s", bound) {
+				if gate.Claimable(now, "r", bound) {
 					gate.Claim(now, "r", "s", bound, 5, nil)
 				}
 				// Some send at once, the others at the end of the window, and may stand still then.
@@ -204,11 +204,11 @@
 		t.Errorf("%d served, should be %d", served, bound.Worth())
 	}
 	last := gates[len(gates)-1]
-	if wait := last.Wait(now, "r", "s", bound); wait != windowLength {
+	if wait := last.Wait(now, "r", bound); wait != windowLength {
 		t.Errorf("the next is told to wait %s, should be %s", wait, windowLength)
 	}
 	now = now.Add(windowLength)
-	if !last.Claimable(now, "r", "s", bound) {
+	if !last.Claimable(now, "r", bound) {
 		t.Error("the next window may begin once the former is over")
 	}
 }
@@ -229,7 +229,7 @@
 		if !slices.Equal(outcomes, []bool{false}) || gate.Holds(now, "r") {
 			t.Errorf("%s: %v, a claim without an answer is not held", c.name, outcomes)
 		}
-		if wait := gate.Wait(now, "r", "s", bound); wait != c.pause {
+		if wait := gate.Wait(now, "r", bound); wait != c.pause {
 			t.Errorf("%s: the next try after %s, should be %s", c.name, wait, c.pause)
 		}
 	}
@@ -240,7 +240,7 @@
 	gate, _, _ := exact()
 	now := epoch.Add(time.Second)
 	gate.Turned(now, "r", "s", bound)
-	if gate.Claimable(now.Add(settleTime-time.Millisecond), "r", "s", bound) || !gate.Claimable(now.Add(settleTime), "r", "s", bound) {
+	if gate.Claimable(now.Add(settleTime-time.Millisecond), "r", bound) || !gate.Claimable(now.Add(settleTime), "r", bound) {
 		t.Errorf("its first window begins after %s", settleTime)
 	}
 }
--- a/internal/process/coldstart/window.go
+++ b/internal/process/coldstart/window.go
@@ -86,15 +86,23 @@
 
 // Claimable reports whether requests to a cold replica may be left in its window, or a new one may
 // begin; a claim finds out.
-func (g *Gate) Claimable(now time.Time, id, service string, bound Bound) bool {
-	return g.Wait(now, id, service, bound) == 0
+func (g *Gate) Claimable(now time.Time, id string, bound Bound) bool {
+	return g.Wait(now, id, bound) == 0
 }
 
-// Wait returns how long no request can be had for a cold replica, 0 if one may be had now.
-func (g *Gate) Wait(now time.Time, id, service string, bound Bound) time.Duration {
-	w := &g.replica(id, service, bound).window
+// Wait returns how long no request can be had for a cold replica, 0 if one may be had now. Nothing is kept
+// for a replica that is only asked about, which may be gone.
+func (g *Gate) Wait(now time.Time, id string, bound Bound) time.Duration {
+	w := window{}
+	if r := g.replicas[id]; r != nil {
+		w = r.window
+	}
 	least, most, known := g.options.Clock(now)
 	wait := max(w.notBefore.Sub(now), 0)
+	if !w.claiming && g.claiming >= claimsAtOnce {
+		// Callers would try all cold replicas in turn otherwise, to be denied by each.
+		wait = max(wait, refusedPause)
+	}
 	if !known || bound.Worth() == 0 {
 		return max(wait, lostPause)
 	}
@@ -127,7 +135,7 @@
 	if len(w.waiting) == 0 {
 		return
 	}
-	if w.tries >= triesAtOnce || g.claiming >= claimsAtOnce || g.Wait(now, r.id, r.service, r.bound) > 0 {
+	if w.tries >= triesAtOnce || g.Wait(now, r.id, r.bound) > 0 {
 		g.deny(now, r)
 		return
 	}
@@ -175,6 +183,10 @@
 }
 
 func (g *Gate) onAnswer(now time.Time, r *replica, next *doorstepv1.ColdWindow, took int, result port.RecordResult) {
+	if g.replicas[r.id] != r {
+		r.fail(now)
+		return
+	}
 	w := &r.window
 	switch result.Status {
 	case port.RecordDone:
@@ -185,10 +197,8 @@
 		w.mine += took
 		g.figures.Granted++
 		g.options.Queue.Log(event.ColdClaimed, "replica", r.id, "service", r.service, "requests", took, "taken", w.taken, "until_ms", next.UntilMs)
-		if g.replicas[r.id] == r {
-			g.try(now, r)
-			return
-		}
+		g.try(now, r)
+		return
 	case port.RecordConflict:
 		w.learnRow(r.id, result.Records)
 		g.try(now, r)
@@ -233,7 +243,7 @@
 func (g *Gate) deny(now time.Time, r *replica) {
 	g.figures.Denied += len(r.window.waiting)
 	if len(r.window.waiting) > 0 {
-		g.options.Queue.Log(event.ColdClaimDenied, "replica", r.id, "service", r.service, "wait_ms", g.Wait(now, r.id, r.service, r.bound).Milliseconds())
+		g.options.Queue.Log(event.ColdClaimDenied, "replica", r.id, "service", r.service, "wait_ms", g.Wait(now, r.id, r.bound).Milliseconds())
 	}
 	r.fail(now)
 }
