Evacuations: homes, and a lifting that is heard of alone

Cause: AllEvacuated counted replicas outside the homes of a request, so that one whose own region was evacuated was refused for another reason and spent its trial; a node that heard of an evacuation by its end alone, or of both in one change, took the zone's replicas for warm. Ruled out: to presume cold after each whole reading, which tells nothing of what was lifted. Measured: TestAllEvacuatedGoesByHomes and TestALiftingToldAloneIsOne fail before, pass now. Conclusion: homes bind here as in every choice, and a lifting counts as an evacuation's end.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -86,7 +86,7 @@
 		}
 		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude)
 		x.noteChosen(now, chosen)
-		if chosen == nil && x.agent.node.AllEvacuated(x.route) {
+		if chosen == nil && x.agent.node.AllEvacuated(x.route, x.caller.Tenant) {
 			x.relay.Evacuated()
 		}
 	})
--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -54,7 +54,7 @@
 // allEvacuated reports whether all replicas that could serve the request lie in evacuated zones.
 func (x *exchange) allEvacuated() bool {
 	evacuated := false
-	x.agent.do(func(time.Time) { evacuated = x.agent.node.AllEvacuated(x.route) })
+	x.agent.do(func(time.Time) { evacuated = x.agent.node.AllEvacuated(x.route, x.caller.Tenant) })
 	return evacuated
 }
 
--- a/internal/process/cluster/evacuation.go
+++ b/internal/process/cluster/evacuation.go
@@ -15,28 +15,34 @@
 
 // onEvacuations takes the evacuations that the table of the configuration tells of. A whole
 // reading replaces the set: a record that was deleted while the watch was broken is in no change.
+// A lifting may be all that is heard of an evacuation, and the zone's replicas may have turned cold.
 func (n *Node) onEvacuations(now time.Time, told []port.Evacuation, whole bool) {
-	next := map[string]bool{}
+	next, lifted := map[string]bool{}, map[string]bool{}
 	if !whole {
 		maps.Copy(next, n.evacuated)
 	}
 	for _, one := range told {
 		if one.Lifted {
 			delete(next, one.Zone)
+			lifted[one.Zone] = true
 			continue
 		}
 		next[one.Zone] = true
 	}
-	if maps.Equal(next, n.evacuated) {
+	if maps.Equal(next, n.evacuated) && len(lifted) == 0 {
 		return
 	}
 	before := n.evacuated
 	n.evacuated = next
 	for _, e := range n.endpoints.All() {
+		if lifted[e.Zone] {
+			e.SetEvacuated(now, true)
+		}
 		e.SetEvacuated(now, next[e.Zone])
 	}
 	n.logEvacuations(event.ZoneEvacuated, next, before)
-	n.logEvacuations(event.EvacuationLifted, before, next)
+	maps.Copy(lifted, before)
+	n.logEvacuations(event.EvacuationLifted, lifted, next)
 }
 
 // logEvacuations tells of the zones of a set that are not in another.
@@ -62,12 +68,12 @@
 	return table == n.options.Decoder.DeploymentTables()[0]
 }
 
-// AllEvacuated reports whether a route has replicas that could serve, but for the evacuation of
-// their zones, and none that can.
-func (n *Node) AllEvacuated(route *port.Route) bool {
-	evacuated := false
+// AllEvacuated reports whether a request of a tenant has replicas that could serve it, but for the
+// evacuation of their zones, and none that can.
+func (n *Node) AllEvacuated(route *port.Route, tenant string) bool {
+	evacuated, homes := false, n.Homes(route, tenant)
 	for _, backend := range route.Backends {
-		for _, e := range n.endpoints.Service(backend.Service) {
+		for _, e := range within(homes, n.endpoints.Service(backend.Service)) {
 			switch e.Withheld() {
 			case endpoint.NotWithheld:
 				return false
--- a/internal/process/cluster/evacuation_test.go
+++ b/internal/process/cluster/evacuation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
 )
@@ -103,7 +104,7 @@
 			if !slices.Equal(usable, c.usable) {
 				t.Errorf("requests go to %v, should to %v", usable, c.usable)
 			}
-			if got := n.AllEvacuated(&evacuationRoute); got != (len(c.usable) == 0) {
+			if got := n.AllEvacuated(&evacuationRoute, ""); got != (len(c.usable) == 0) {
 				t.Errorf("all are evacuated: %t", got)
 			}
 		})
@@ -152,7 +153,7 @@
 		n := newZonedNode()
 		n.onDeployment(start, "operator", records("operator", "a"), true)
 		c.change(n)
-		if got := n.AllEvacuated(&evacuationRoute); got != c.want {
+		if got := n.AllEvacuated(&evacuationRoute, ""); got != c.want {
 			t.Errorf("%s: %t, should be %t", c.name, got, c.want)
 		}
 	}
@@ -206,3 +207,31 @@
 		t.Errorf("%+v", zones)
 	}
 }
+
+// TestALiftingToldAloneIsOne: a node that was suspended, or hears of several changes at once, may hear of an
+// evacuation by its end only. The zone's replicas may have turned cold all the same.
+func TestALiftingToldAloneIsOne(t *testing.T) {
+	for name, keys := range map[string][]string{"the end alone": {"-a"}, "both at once": {"a", "-a"}} {
+		n := newZonedNode()
+		n.onDeployment(start, "replicas", records("replicas", "a/1", "b/1"), true)
+		n.onDeployment(start, "operator", records("operator", keys...), false)
+		if !n.endpoints.Find("a/1").Cold(start, time.Second) || n.endpoints.Find("b/1").Cold(start, time.Second) {
+			t.Errorf("%s: the replica of the zone alone is presumed to be cold", name)
+		}
+	}
+	n := newZonedNode()
+	n.onDeployment(start, "replicas", records("replicas", "a/1"), true)
+	n.onDeployment(start, "operator", records("operator", "-a", "a"), false)
+	if n.endpoints.Find("a/1").Withheld() != endpoint.WithheldEvacuated {
+		t.Error("a zone that is evacuated anew is evacuated")
+	}
+}
+
+// TestAllEvacuatedGoesByHomes: replicas in regions in which a request may not be served don't count.
+func TestAllEvacuatedGoesByHomes(t *testing.T) {
+	n, route := homesNode()
+	n.onEvacuations(start, []port.Evacuation{{Zone: "b"}}, false)
+	if !n.AllEvacuated(route, "red") || n.AllEvacuated(route, "blue") {
+		t.Error("all replicas that could serve red are evacuated, not so those for blue")
+	}
+}
