Items at warm replicas: two thirds of the bound in the long run

Cause: a token bucket alone refilled by a cold replica's rate holds items back beside idle replicas, though any second may have as many as the bound allows. Its refill can't rise without the sum of a second rising. Now a count of the last second bounds bursts (17 of 18 at 9.3 a second), and the bucket is refilled by two thirds of the bound: an owner's last second and a newcomer's third meet. Callers' requests count from the first on.

--- a/internal/process/coldstart/coldstart.go
+++ b/internal/process/coldstart/coldstart.go
@@ -4,8 +4,8 @@
 //
 // Two means hold the sum of all nodes below the bound. To a replica that is known to be cold, a request
 // is sent only by a node that took it from the replica's window, a row of the record store that is
-// changed under a condition. What nobody has heard yet is bounded by a token bucket for each replica,
-// which every node's items of batch jobs pass at all times.
+// changed under a condition. What nobody has heard yet is bounded by an allowance for each replica,
+// a token bucket and a count of the last second, by which every node's items of batch jobs go at all times.
 package coldstart
 
 import (
@@ -39,17 +39,31 @@
 // is taken off the bucket of the others.
 const outOfTouch = 1
 
+// lastingPart is the part of the bound that a bucket is refilled by in a second, if a cold replica's rate is
+// less: so an owner's last second and the share of a newcomer, a third, are within the bound. With the whole of
+// it 6 of the seeds 300 to 357 of the faults beside cold replicas see up to 33 requests of 18, with two thirds
+// none; there are 14,774 results of items then, and 13,949 at the cold replica's rate.
+const lastingPart = 2.0 / 3
+
 // bucket returns the burst and the rate of the token bucket of one of so many nodes, or with a share of
-// 0 of one that does not know how many there are. Any second takes the burst and what comes in a second.
+// 0 of one that does not know how many there are.
 func (b Bound) bucket(share int) (burst int, refill rate.Limit) {
 	if share == 0 {
 		return outOfTouch, rate.Limit(min(b.PerSecond, outOfTouch))
 	}
 	whole := max(math.Floor(b.Most-b.PerSecond)-outOfTouch, 1)
-	perSecond := min(b.PerSecond, max(b.Most-whole, 0))
+	perSecond := max(min(b.PerSecond, b.Most-whole), lastingPart*b.Most)
 	return max(int(whole)/share, 1), rate.Limit(perSecond / float64(share))
 }
 
+// inAnySecond returns how many requests one of so many nodes may send in any second.
+func (b Bound) inAnySecond(share int) int {
+	if share == 0 {
+		return outOfTouch
+	}
+	return max((int(b.Most)-outOfTouch)/share, 1)
+}
+
 // Options configure a Gate.
 type Options struct {
 	Self        string
@@ -75,8 +89,8 @@
 type replica struct {
 	id, service string
 	bound       Bound
-	// items and callers are the token buckets of the two kinds of requests.
-	items, callers *rate.Limiter
+	// items and callers are the allowances of the two kinds of requests.
+	items, callers allowance
 	window         window
 }
 
--- a/internal/process/coldstart/coldstart_test.go
+++ b/internal/process/coldstart/coldstart_test.go
@@ -271,6 +271,48 @@
 	}
 }
 
+// TestAnAllowanceOverTime: what an idle replica gets at first, and what it gets for as long as more is
+// wanted. With the bucket alone 20 pass in the first second.
+func TestAnAllowanceOverTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sender Sender
+		// most is what may pass in any second, least what must in ten.
+		most, least int
+	}{
+		{"one node", Sender{Items: true, Share: 1}, 17, 130},
+		{"one of three", Sender{Items: true, Share: 3}, 5, 42},
+		{"a node out of touch", Sender{Items: true}, 1, 9},
+	} {
+		gate, _, _ := exact()
+		var passed []time.Time
+		for now := epoch; now.Sub(epoch) < 10*time.Second; now = now.Add(5 * time.Millisecond) {
+			for gate.Allows(now, "r", "s", bound, c.sender) {
+				gate.Sent(now, "r", "s", bound, c.sender, false)
+				passed = append(passed, now)
+			}
+			last := slices.DeleteFunc(slices.Clone(passed), func(at time.Time) bool { return now.Sub(at) > time.Second })
+			if len(last) > c.most {
+				t.Fatalf("%s: %d within a second, should be %d at the most", c.name, len(last), c.most)
+			}
+		}
+		if len(passed) < c.least {
+			t.Errorf("%s: %d in ten seconds, should be %d", c.name, len(passed), c.least)
+		}
+	}
+}
+
+// TestCallersTakeRoomOfItems: also those that came before the first item.
+func TestCallersTakeRoomOfItems(t *testing.T) {
+	gate, _, _ := exact()
+	for range 17 {
+		gate.Sent(epoch, "r", "s", bound, Sender{Share: 1}, false)
+	}
+	if gate.Allows(epoch.Add(time.Second), "r", "s", bound, Sender{Items: true, Share: 1}) {
+		t.Error("the replica got what it may get in a second")
+	}
+}
+
 func TestCollect(t *testing.T) {
 	gate, queue, store := exact()
 	now := epoch.Add(time.Second)
