--- a/internal/process/coldstart/coldstart.go
+++ b/internal/process/coldstart/coldstart.go
@@ -4,8 +4,8 @@
 //
 // Two means hold the sum of all nodes below the bound. To a replica that is known to be cold, a request
 // is sent only by a node that took it from the replica's window, a row of the record store that is
-// changed under a condition. What nobody has heard yet is bounded by a token bucket for each replica,
-// which every node's items of batch jobs pass at all times.
+// changed under a condition. What nobody has heard yet is bounded by an allowance for each replica,
+// a token bucket and a count of the last second, by which every node's items of batch jobs go at all times.
 package coldstart
 
 import (
@@ -40,7 +40,7 @@
 const outOfTouch = 1
 
 // bucket returns the burst and the rate of the token bucket of one of so many nodes, or with a share of
-// 0 of one that does not know how many there are. Any second takes the burst and what comes in a second.
+// 0 of one that does not know how many there are.
 func (b Bound) bucket(share int) (burst int, refill rate.Limit) {
 	if share == 0 {
 		return outOfTouch, rate.Limit(min(b.PerSecond, outOfTouch))
@@ -50,6 +50,14 @@
 	return max(int(whole)/share, 1), rate.Limit(perSecond / float64(share))
 }
 
+// inAnySecond returns how many requests one of so many nodes may send in any second.
+func (b Bound) inAnySecond(share int) int {
+	if share == 0 {
+		return outOfTouch
+	}
+	return max((int(b.Most)-outOfTouch)/share, 1)
+}
+
 // Options configure a Gate.
 type Options struct {
 	Self        string
@@ -75,8 +83,8 @@
 type replica struct {
 	id, service string
 	bound       Bound
-	// items and callers are the token buckets of the two kinds of requests.
-	items, callers *rate.Limiter
+	// items and callers are the allowances of the two kinds of requests.
+	items, callers allowance
 	window         window
 }
 
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -132,12 +132,14 @@
 	events  []port.ReplicaEvent
 	ended   bool
 	told    int
+	// sentAt is when its node sent it.
+	sentAt time.Time
 	// crashed says that the replica ended while it had the run.
 	crashed bool
 }
 
 func (w *World) startRun(n *node, life uint64, t task.Run) {
-	one := &run{task: t, node: n, life: life, replica: w.at(t.Address), model: t.Header.Get("model")}
+	one := &run{task: t, node: n, life: life, sentAt: w.Now, replica: w.at(t.Address), model: t.Header.Get("model")}
 	n.runs[t.ID] = one
 	if one.replica != nil && one.replica.ID == t.Replica {
 		w.check.sentTo(w, n, w.check.itemJobs[t.Item], "", t.Item, one.replica.zone)
--- a/internal/simulation/clustersim/scorer.go
+++ b/internal/simulation/clustersim/scorer.go
@@ -109,10 +109,12 @@
 	node  *node
 	life  uint64
 	ended bool
+	// sentAt is when its node sent it.
+	sentAt time.Time
 }
 
 func (w *World) startScoring(n *node, life uint64, t task.ScoringCall) {
-	one := &scoringCall{task: t, node: n, life: life}
+	one := &scoringCall{task: t, node: n, life: life, sentAt: w.Now}
 	n.calls[t.ID] = one
 	known, _ := w.check.jobOfCall(t.Request)
 	w.check.sentTo(w, n, known, scorerName, t.Request, scorerZone)
