--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -127,7 +127,7 @@
 	if pace == 0 || q.BestPace == 0 {
 		return !q.Paced
 	}
-	return float64(pace) <= alikePaces*float64(q.BestPace)
+	return float64(pace) <= AlikePaces*float64(q.BestPace)
 }
 
 // HasSlot drops endpoints that would not begin the request at once.
@@ -172,9 +172,9 @@
 	return float64(typicalLatency) / float64(typicalLatency+e.latency)
 }
 
-// alikePaces, times the best pace, is up to where endpoints count as equally fast: a full
+// AlikePaces, times the best pace, is up to where endpoints count as equally fast: a full
 // batch is that much slower than a run alone.
-const alikePaces = 1.12
+const AlikePaces = 1.12
 
 // Steady falls from 1, for the endpoints whose runs make events fastest, towards 0 for
 // slower ones. One whose pace is not known rates as the fastest, so that it is tried.
@@ -183,7 +183,7 @@
 	if pace == 0 || q.BestPace == 0 {
 		return 1
 	}
-	return min(alikePaces*float64(q.BestPace)/float64(pace), 1)
+	return min(AlikePaces*float64(q.BestPace)/float64(pace), 1)
 }
 
 // slowestUsual, times the best pace, is where an endpoint counts as in trouble rather
--- a/internal/version/rollout/exchange.go
+++ b/internal/version/rollout/exchange.go
@@ -13,9 +13,6 @@
 // slower ones, while a model of shorter texts loses nothing there. So groups exchange
 // replicas until those with the longest texts have the fast ones.
 const (
-	// alikePaces, times the best pace, is up to where replicas count as fast: a full batch is
-	// that much slower than a run alone.
-	alikePaces = 1.12
 	// alikeLengths is by what factor one model's longest texts exceed another's at the least
 	// for it to be given faster replicas: the lengths are learned, and an exchange back would
 	// cost loads.
@@ -105,7 +102,7 @@
 // those of one with fast replicas.
 func (x *exchanges) next(best time.Duration) (slow, fast *endpoint.Endpoint) {
 	isFast := func(e *endpoint.Endpoint) bool {
-		return x.nature[e.ID] > 0 && float64(x.nature[e.ID]) <= alikePaces*float64(best)
+		return x.nature[e.ID] > 0 && float64(x.nature[e.ID]) <= endpoint.AlikePaces*float64(best)
 	}
 	isSlow := func(e *endpoint.Endpoint) bool { return x.nature[e.ID] > 0 && !isFast(e) }
 	for _, a := range x.byNeed(isSlow) {
