--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -172,7 +172,7 @@
 	return float64(typicalLatency) / float64(typicalLatency+e.latency)
 }
 
-// AlikePaces, times the best pace, is up to where endpoints count as equally fast: a full
+// AlikePaces times the best pace is up to where endpoints count as equally fast: a full
 // batch is that much slower than a run alone.
 const AlikePaces = 1.12
 
