A replica that starts again under its ID is another endpoint, and unusable entries name no replica

Cause: all that a node keeps of a replica hung on its ID. A replica that came back under it with version 3 passed for one with version 5, still counted the 3 requests that died with it, and kept pace, ejections, memory and the rollout's count of orders. An entry in an unknown state passed for a ready replica, one without address for a replica, and one that became unreadable left the former replica in use until the next whole reading.

Change: entries and reports tell the start of an incarnation; Registry.Put replaces the endpoint when a newer record (by the store's revision: clocks step back) tells another start, service or address, and passes over records and removals older than what it knows. Runs, scoring calls, the rollout's states, paces by nature and the quarantine's evidence hang on the incarnation. A report of another life is no ground for an order.

Ruled out: going by the lower or higher start (clocks of replicas step); comparing reports with entries by time.

--- a/internal/command/operator/rows.go
+++ b/internal/command/operator/rows.go
@@ -100,10 +100,8 @@
 func (g *gathering) deployment() port.Deployment {
 	var whole port.Deployment
 	for _, table := range g.client.decoder.DeploymentTables() {
-		part, err := g.client.decoder.DecodeDeployment(g.read(table, "", ""))
-		if err != nil && g.err == nil {
-			g.err = err
-		}
+		part := g.client.decoder.DecodeDeployment(g.read(table, "", ""))
+		g.checkReadable(table, part)
 		if part.Routes != nil {
 			whole.Routes = part.Routes
 		}
@@ -114,6 +112,17 @@
 	return whole
 }
 
+// checkReadable ends the query if a record can't be read, but for entries in the list of replicas: others
+// than replicas write there too.
+func (g *gathering) checkReadable(table string, part port.Deployment) {
+	for _, one := range part.Unreadable {
+		entry := slices.ContainsFunc(part.Gone, func(gone port.GoneReplica) bool { return gone.ID == one.Key })
+		if !entry && g.err == nil {
+			g.err = fmt.Errorf("record %s/%s: %s", table, one.Key, one.Reason)
+		}
+	}
+}
+
 func (g *gathering) configuration() *doorstepv1.Configuration {
 	key := configuration.Key()
 	for _, record := range g.read(key.Table, key.Partition, key.Key) {
--- a/internal/command/operator/rows_test.go
+++ b/internal/command/operator/rows_test.go
@@ -37,7 +37,7 @@
 
 func (evacuationDecoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
 
-func (evacuationDecoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (evacuationDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		if record.Table == "operator" {
@@ -46,7 +46,7 @@
 		}
 		change.Replicas = append(change.Replicas, port.ReplicaRecord{ID: record.Key, Zone: string(record.Value), Draining: record.Key == "leaving"})
 	}
-	return change, nil
+	return change
 }
 
 // TestReplicaStates: the state tells why a replica gets no new work, as nodes see it.
--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -1,6 +1,9 @@
 package port
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // RouteKind says what may be done with a request of a route.
 type RouteKind string
@@ -111,8 +114,12 @@
 
 // ReplicaRecord is what a replica says of itself in the store.
 type ReplicaRecord struct {
-	// ID is this incarnation's, found nowhere else.
-	ID      string
+	// ID names the replica. One that starts again may keep it: ID and StartedAt together name an
+	// incarnation.
+	ID string
+	// StartedAt is when the incarnation started by the replica's own clock, to the millisecond; zero
+	// where replicas don't tell.
+	StartedAt time.Time
 	Service string
 	Address string
 	Zone    string
@@ -123,8 +130,31 @@
 	ColdFor time.Duration
 	// Versions are the weights it holds, by model.
 	Versions map[string]int64
-	// Revision is that of the record, so that one that is read again is not taken for news.
+	// Revision is that of the record, so that one that is read again is not taken for news, nor one
+	// that is read late for a newer one.
+	Revision int64
+}
+
+// Incarnation names one life of a replica.
+func (r *ReplicaRecord) Incarnation() string {
+	if r.StartedAt.IsZero() {
+		return r.ID
+	}
+	return fmt.Sprintf("%s@%d", r.ID, r.StartedAt.UnixMilli())
+}
+
+// GoneReplica is a replica whose record was deleted, or can't be used, as of a revision of the store.
+type GoneReplica struct {
+	ID       string
+	Revision int64
+}
+
+// UnreadableRecord is a record that was left out of a change, as something in it is missing or not of
+// its type.
+type UnreadableRecord struct {
+	Key      string
 	Revision int64
+	Reason   string
 }
 
 // Evacuation says that a zone's replicas are to get nothing, until it is lifted.
@@ -143,10 +173,12 @@
 // Fields that are nil did not change.
 type Deployment struct {
 	Routes *RouteTable
-	// Replicas are new or changed, Gone are the IDs of those that left.
+	// Replicas are new or changed, Gone are those without a record that can be used.
 	Replicas []ReplicaRecord
-	Gone     []string
+	Gone     []GoneReplica
 	Targets  []VersionTarget
+	// Unreadable are records that were left out.
+	Unreadable []UnreadableRecord
 	// Evacuations are zones whose evacuation was asked for or lifted.
 	Evacuations []Evacuation
 }
@@ -185,6 +217,8 @@
 // ReplicaReport is what a replica says of itself when asked.
 type ReplicaReport struct {
 	OK bool
+	// StartedAt is the start of the incarnation that answered, as in ReplicaRecord.
+	StartedAt time.Time
 	// Loading says that an order is under way.
 	Loading bool
 	// Sequence counts the orders taken in this life.
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -43,7 +43,7 @@
 // trainers and replicas say.
 type DeploymentDecoder interface {
 	DeploymentTables() []string
-	DecodeDeployment(records []port.Record) (port.Deployment, error)
+	DecodeDeployment(records []port.Record) port.Deployment
 	LengthHint(header http.Header) int
 	Tokens(header http.Header) (prompt, most int)
 }
@@ -94,6 +94,7 @@
 	// evacuated holds the zones whose replicas get nothing.
 	evacuated  map[string]bool
 	lapses     lapses
+	unreadable unreadableRecords
 	status     statusWriter
 	clock      storeClock
 	latency    callLatency
@@ -107,7 +108,7 @@
 	n := &Node{
 		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clock: storeClock{base: now},
 		distances: distance.New(options.Topology),
-		lapses:    lapses{kept: map[string]bool{}}, leases: map[string]*recordlease.Lease{},
+		lapses:    lapses{kept: map[string]bool{}}, unreadable: unreadableRecords{}, leases: map[string]*recordlease.Lease{},
 		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
 	}
 	n.splitter = routes.NewSplitter(n.random.Float64())
--- a/internal/process/cluster/cluster_test.go
+++ b/internal/process/cluster/cluster_test.go
@@ -21,15 +21,15 @@
 
 func (decoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
 
-func (decoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (decoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		change.Routes = &port.RouteTable{}
 		if err := json.Unmarshal(record.Value, change.Routes); err != nil {
-			return change, err
+			return change
 		}
 	}
-	return change, nil
+	return change
 }
 
 func newNode() *Node {
--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -66,7 +66,8 @@
 // noteCold takes from a replica's record how long it is cold.
 func (n *Node) noteCold(now time.Time, put endpoint.Change) {
 	one := put.Endpoint
-	wasWarm := !put.Added && !now.Before(one.ColdUntil)
+	// Others may still take a replica that started again under its ID for the warm one that it was.
+	wasWarm := !put.Added && !now.Before(one.ColdUntil) || put.Former != nil && !now.Before(put.Former.ColdUntil)
 	one.LearnCold(now)
 	bound, ok := n.coldBound(one.Service)
 	if !ok || !now.Before(one.ColdUntil) || n.cold.known[one.ID] {
--- a/internal/process/cluster/cold_test.go
+++ b/internal/process/cluster/cold_test.go
@@ -136,24 +136,24 @@
 // coldDecoder reads routes and replicas.
 type coldDecoder struct{ decoder }
 
-func (coldDecoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (coldDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		if record.Table == "operator" {
 			change.Routes = &port.RouteTable{}
 			if err := json.Unmarshal(record.Value, change.Routes); err != nil {
-				return change, err
+				return change
 			}
 			continue
 		}
 		one := port.ReplicaRecord{}
 		if err := json.Unmarshal(record.Value, &one); err != nil {
-			return change, err
+			return change
 		}
 		one.Revision = record.Revision
 		change.Replicas = append(change.Replicas, one)
 	}
-	return change, nil
+	return change
 }
 
 // arrive counts a request at a replica, as its platform does.
--- a/internal/process/cluster/evacuation_test.go
+++ b/internal/process/cluster/evacuation_test.go
@@ -15,7 +15,7 @@
 // zonedDecoder reads records of evacuations, and of replicas whose keys begin with their zones.
 type zonedDecoder struct{ decoder }
 
-func (zonedDecoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (zonedDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		switch {
@@ -24,13 +24,13 @@
 		case record.Table == "operator":
 			change.Evacuations = append(change.Evacuations, port.Evacuation{Zone: record.Key, Lifted: record.Deleted})
 		case record.Deleted:
-			change.Gone = append(change.Gone, record.Key)
+			change.Gone = append(change.Gone, port.GoneReplica{ID: record.Key, Revision: record.Revision})
 		default:
 			zone, _, _ := strings.Cut(record.Key, "/")
 			change.Replicas = append(change.Replicas, port.ReplicaRecord{ID: record.Key, Service: "s", Zone: zone, Slots: 4})
 		}
 	}
-	return change, nil
+	return change
 }
 
 var evacuationRoute = port.Route{Name: "r", Kind: port.RouteIdempotent, Backends: []port.Backend{{Service: "s", Weight: 1}}}
--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
 )
@@ -53,6 +54,19 @@
 	n.noteReplica(now, n.endpoints.Remove(id))
 }
 
+// removeGone drops a replica whose record was deleted, or can't be used any more: that is nothing that the
+// store's absence would explain.
+func (n *Node) removeGone(now time.Time, gone port.GoneReplica, unusable bool) {
+	if unusable {
+		delete(n.lapses.kept, gone.ID)
+		n.noteReplica(now, n.endpoints.Gone(gone))
+		return
+	}
+	if known := n.endpoints.Find(gone.ID); known != nil && known.Revision <= gone.Revision {
+		n.removeReplica(now, gone.ID)
+	}
+}
+
 // putReplica notes that a replica's record stands again.
 func (n *Node) putReplica(now time.Time, put endpoint.Change) {
 	delete(n.lapses.kept, put.Endpoint.ID)
--- a/internal/process/cluster/lapse_test.go
+++ b/internal/process/cluster/lapse_test.go
@@ -61,16 +61,16 @@
 
 func (replicaDecoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
 
-func (replicaDecoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (replicaDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		if record.Deleted {
-			change.Gone = append(change.Gone, record.Key)
+			change.Gone = append(change.Gone, port.GoneReplica{ID: record.Key, Revision: record.Revision})
 			continue
 		}
 		change.Replicas = append(change.Replicas, port.ReplicaRecord{ID: record.Key, Service: "s"})
 	}
-	return change, nil
+	return change
 }
 
 // TestListedReplicas: a whole reading drops what it does not list, a change what it names.
--- /dev/null
+++ b/internal/process/cluster/unreadable_test.go
@@ -0,0 +1,63 @@
+package cluster
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/process/task"
+)
+
+// strangeDecoder takes records that begin with a question mark for those of other writers.
+type strangeDecoder struct{ replicaDecoder }
+
+func (d strangeDecoder) DecodeDeployment(records []port.Record) port.Deployment {
+	var change port.Deployment
+	for _, record := range records {
+		if !strings.HasPrefix(string(record.Value), "?") {
+			part := d.replicaDecoder.DecodeDeployment([]port.Record{record})
+			for i := range part.Replicas {
+				part.Replicas[i].Revision = record.Revision
+			}
+			change.Replicas, change.Gone = append(change.Replicas, part.Replicas...), append(change.Gone, part.Gone...)
+			continue
+		}
+		change.Gone = append(change.Gone, port.GoneReplica{ID: record.Key, Revision: record.Revision})
+		change.Unreadable = append(change.Unreadable, port.UnreadableRecord{Key: record.Key, Revision: record.Revision, Reason: "strange"})
+	}
+	return change
+}
+
+// TestEntryTurnsUnreadable: a replica whose record can't be read any more gets nothing from that moment on,
+// also while the store was away just now, and the log tells it once.
+func TestEntryTurnsUnreadable(t *testing.T) {
+	n := New(start, Options{Name: "n", Topology: port.Topology{Zone: "z"}, Incarnation: 1, Decoder: strangeDecoder{}, OrderPause: time.Second})
+	record := func(value string, revision int64) []port.Record {
+		return []port.Record{{RecordKey: port.RecordKey{Table: "replicas", Key: "r"}, Value: []byte(value), Revision: revision}}
+	}
+	n.onDeployment(start, "replicas", record("sound", 1), true)
+	n.onReplicaHealth(start, false)
+	n.Take()
+	n.onDeployment(start, "replicas", record("?", 2), false)
+	if n.endpoints.Find("r") != nil {
+		t.Error("the replica is still in use")
+	}
+	for range 3 {
+		n.onDeployment(start, "replicas", record("?", 2), true)
+	}
+	lines := 0
+	for _, one := range n.Take() {
+		if logged, ok := one.(task.Log); ok && logged.Event == event.RecordUnreadable {
+			lines++
+		}
+	}
+	if lines != 1 {
+		t.Errorf("%d lines tell of it, should be one", lines)
+	}
+	n.onDeployment(start, "replicas", record("sound", 3), false)
+	if n.endpoints.Find("r") == nil {
+		t.Error("the replica did not come back with a sound record")
+	}
+}
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -93,10 +93,8 @@
 }
 
 func (n *Node) onDeployment(now time.Time, table string, records []port.Record, whole bool) {
-	change, err := n.options.Decoder.DecodeDeployment(records)
-	if err != nil {
-		n.queue.Log(event.RecordUnreadable, "table", table, "error", err.Error())
-	}
+	change := n.options.Decoder.DecodeDeployment(records)
+	n.unreadable.note(n.queue, table, change.Unreadable, whole)
 	if change.Routes != nil {
 		n.apply(now, change.Routes)
 	}
@@ -111,8 +109,8 @@
 		listed[record.ID] = true
 		n.putReplica(now, n.endpoints.Put(record))
 	}
-	for _, id := range change.Gone {
-		n.removeReplica(now, id)
+	for _, gone := range change.Gone {
+		n.removeGone(now, gone, unreadable(change.Unreadable, gone.ID))
 	}
 	if whole && n.listsReplicas(table) {
 		for _, e := range n.endpoints.All() {
@@ -135,10 +133,13 @@
 		return
 	}
 	one := change.Endpoint
+	if change.Former != nil {
+		n.noteReplica(now, endpoint.Change{Endpoint: change.Former, Removed: true})
+	}
 	switch {
 	case change.Added:
 		n.queue.Log(event.ReplicaAdded, "replica", one.ID, "service", one.Service, "address", one.Address, "zone", one.Zone,
-			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining)
+			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining, "restarted", change.Former != nil)
 	case change.Removed:
 		n.queue.Log(event.ReplicaRemoved, "replica", one.ID, "service", one.Service, "in_flight", one.InFlight)
 		n.queue.Add(task.Forget{Address: one.Address})
--- a/internal/process/coldstart/coldstart.go
+++ b/internal/process/coldstart/coldstart.go
@@ -101,7 +101,7 @@
 	return r
 }
 
-// Forget drops a replica that is gone. Its ID never comes back.
+// Forget drops a replica that is gone. One that comes back under its ID finds its window in the store.
 func (g *Gate) Forget(now time.Time, id string) {
 	r := g.replicas[id]
 	if r == nil {
--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -31,7 +31,8 @@
 	busyFor = time.Second
 )
 
-// Endpoint is one incarnation of a replica.
+// Endpoint is one incarnation of a replica. What is known of it ends with it: a replica that starts again
+// is another endpoint, also under the same ID.
 type Endpoint struct {
 	port.ReplicaRecord
 	// InFlight counts this node's attempts that have not ended.
@@ -253,16 +254,25 @@
 	Endpoint *Endpoint
 	// Added, Leaving and Removed tell of the change; none is set for a mere update.
 	Added, Leaving, Removed bool
+	// Former is the incarnation that the added one replaces under its ID, nil if there is none.
+	Former *Endpoint
 }
 
-// Put takes a replica's record.
+// Put takes a replica's record. One that is older than what is known changes nothing: a watch that goes
+// on behind a whole reading tells of changes again.
 func (r *Registry) Put(record port.ReplicaRecord) Change {
 	known := r.byID[record.ID]
 	if known == nil {
-		known = &Endpoint{ReplicaRecord: record}
-		r.byID[record.ID] = known
-		r.byService[record.Service] = insert(r.byService[record.Service], known)
-		return Change{Endpoint: known, Added: true, Leaving: record.Draining}
+		return r.add(record)
+	}
+	if known.newerThan(record.Revision) {
+		return Change{Endpoint: known}
+	}
+	if known.replacedBy(&record) {
+		r.Remove(record.ID)
+		change := r.add(record)
+		change.Former = known
+		return change
 	}
 	leaving := record.Draining && !known.Draining
 	versions := known.Versions
@@ -274,6 +284,33 @@
 	return Change{Endpoint: known, Leaving: leaving}
 }
 
+func (r *Registry) add(record port.ReplicaRecord) Change {
+	fresh := &Endpoint{ReplicaRecord: record}
+	r.byID[record.ID] = fresh
+	r.byService[record.Service] = insert(r.byService[record.Service], fresh)
+	return Change{Endpoint: fresh, Added: true, Leaving: record.Draining}
+}
+
+// newerThan reports whether the endpoint is known by a newer record than that of a revision; 0 tells
+// nothing.
+func (e *Endpoint) newerThan(revision int64) bool { return revision != 0 && revision < e.Revision }
+
+// replacedBy reports whether a newer record tells of another incarnation. A replica that starts again
+// under its ID holds nothing of before: requests that were at it have ended, its versions may be lower,
+// and its address may be another. Which of two lives is the newer one is told by the store's
+// revisions, as the clocks of replicas step.
+func (e *Endpoint) replacedBy(record *port.ReplicaRecord) bool {
+	return !record.StartedAt.Equal(e.StartedAt) || record.Service != e.Service || record.Address != e.Address
+}
+
+// Gone drops a replica whose record is gone as of a revision, unless it has a newer one.
+func (r *Registry) Gone(gone port.GoneReplica) Change {
+	if known := r.byID[gone.ID]; known != nil && known.newerThan(gone.Revision) {
+		return Change{}
+	}
+	return r.Remove(gone.ID)
+}
+
 // Remove drops a replica that is no longer listed.
 func (r *Registry) Remove(id string) Change {
 	known := r.byID[id]
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -356,16 +356,16 @@
 func (decoder) Tokens(http.Header) (prompt, most int) { return 0, model.MostItemEvents }
 
 // DecodeDeployment reads JSON.
-func (decoder) DecodeDeployment(records []port.Record) (port.Deployment, error) {
+func (decoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
 	for _, record := range records {
 		switch {
 		case record.Table == replicaTable && record.Deleted:
-			change.Gone = append(change.Gone, record.Key)
+			change.Gone = append(change.Gone, port.GoneReplica{ID: record.Key, Revision: record.Revision})
 		case record.Table == replicaTable:
 			var one port.ReplicaRecord
 			if err := json.Unmarshal(record.Value, &one); err != nil {
-				return change, err
+				return change
 			}
 			one.Revision = record.Revision
 			change.Replicas = append(change.Replicas, one)
@@ -375,17 +375,17 @@
 		case record.Key == routesKey:
 			change.Routes = &port.RouteTable{}
 			if err := json.Unmarshal(record.Value, change.Routes); err != nil {
-				return change, err
+				return change
 			}
 		default:
 			var target port.VersionTarget
 			if err := json.Unmarshal(record.Value, &target); err != nil {
-				return change, err
+				return change
 			}
 			change.Targets = append(change.Targets, target)
 		}
 	}
-	return change, nil
+	return change
 }
 
 // expectedText is the whole text of an item under the versions given for its events.
--- a/internal/version/batch/forecast.go
+++ b/internal/version/batch/forecast.go
@@ -52,7 +52,7 @@
 	if one.state != itemRunning || most <= 0 {
 		return time.Time{}, false
 	}
-	chosen := o.jobs.options.Find(one.endpoint)
+	chosen := o.runsAt(one)
 	if chosen == nil || chosen.Pace(now) == 0 || one.progressAt.IsZero() {
 		return time.Time{}, false
 	}
--- a/internal/version/batch/quarantine.go
+++ b/internal/version/batch/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 )
 
@@ -75,9 +76,9 @@
 }
 
 // noteCrash notes a replica that ended while it had a request of this job.
-func (o *ownedJob) noteCrash(now time.Time, request quarantine.Request, replica string, crashed bool) {
+func (o *ownedJob) noteCrash(now time.Time, request quarantine.Request, chosen *endpoint.Endpoint, crashed bool) {
 	if crashed {
-		o.jobs.options.Quarantine.Crashed(now, request, replica)
+		o.jobs.options.Quarantine.Crashed(now, request, chosen.Incarnation())
 	}
 }
 
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -85,9 +85,9 @@
 		},
 		SendBy: chosen.SendBy,
 		Done: func(now time.Time, result task.RunResult) {
-			o.jobs.account(now, chosen.ID, o.job.Model, result, now.Sub(sentAt))
+			o.jobs.account(now, chosen, o.job.Model, result, now.Sub(sentAt))
 			leave()
-			o.noteCrash(now, one.request, chosen.ID, result.Crashed)
+			o.noteCrash(now, one.request, chosen, result.Crashed)
 			chosen.InFlight--
 			held.set(0)
 			o.openRuns--
@@ -144,7 +144,7 @@
 	if pace <= 0 {
 		return false
 	}
-	if chosen := o.jobs.options.Find(one.endpoint); chosen != nil && one.run == run {
+	if chosen := o.runsAt(one); chosen != nil && one.run == run {
 		chosen.LearnPace(now, pace)
 	}
 	route := o.route()
@@ -180,11 +180,8 @@
 }
 
 // account tells the endpoint how its run fared.
-func (j *Jobs) account(now time.Time, id, model string, result task.RunResult, took time.Duration) {
-	chosen := j.options.Find(id)
-	if chosen == nil {
-		return
-	}
+func (j *Jobs) account(now time.Time, chosen *endpoint.Endpoint, model string, result task.RunResult, took time.Duration) {
+	id := chosen.ID
 	switch result.Outcome {
 	case task.RunCompleted:
 		chosen.Succeeded(result.FirstEvent)
@@ -259,8 +256,17 @@
 	o.advance(now)
 }
 
+// runsAt returns the endpoint of an item's newest run, nil if it is not listed any more: a replica that
+// started again under the same ID is another one.
+func (o *ownedJob) runsAt(one *item) *endpoint.Endpoint {
+	if one.held == nil || o.jobs.options.Find(one.endpoint) != one.held.endpoint {
+		return nil
+	}
+	return one.held.endpoint
+}
+
 func (o *ownedJob) learnVersions(one *item, result task.RunResult) {
-	chosen := o.jobs.options.Find(one.endpoint)
+	chosen := o.runsAt(one)
 	if chosen == nil {
 		return
 	}
--- a/internal/version/rollout/exchange.go
+++ b/internal/version/rollout/exchange.go
@@ -24,22 +24,22 @@
 
 // nature is the least pace seen of each replica: trouble and load make a replica slower for a
 // while, nothing makes it faster than it is.
-type nature map[string]time.Duration
+type nature map[*endpoint.Endpoint]time.Duration
 
 // note takes what the node knows of the replicas' paces.
 func (n nature) note(now time.Time, endpoints []*endpoint.Endpoint) {
 	for _, e := range endpoints {
-		if pace := e.Pace(now); pace > 0 && (n[e.ID] == 0 || pace < n[e.ID]) {
-			n[e.ID] = pace
+		if pace := e.Pace(now); pace > 0 && (n[e] == 0 || pace < n[e]) {
+			n[e] = pace
 		}
 	}
 }
 
-// forget drops the replicas that are not listed any more.
-func (n nature) forget(listed map[string]bool) {
-	for id := range n {
-		if !listed[id] {
-			delete(n, id)
+// forget drops the incarnations that are not listed any more.
+func (n nature) forget(listed map[*endpoint.Endpoint]bool) {
+	for e := range n {
+		if !listed[e] {
+			delete(n, e)
 		}
 	}
 }
@@ -48,7 +48,7 @@
 func (n nature) best(endpoints []*endpoint.Endpoint) time.Duration {
 	best := time.Duration(0)
 	for _, e := range endpoints {
-		if pace := n[e.ID]; pace > 0 && (best == 0 || pace < best) {
+		if pace := n[e]; pace > 0 && (best == 0 || pace < best) {
 			best = pace
 		}
 	}
@@ -102,9 +102,9 @@
 // those of one with fast replicas.
 func (x *exchanges) next(best time.Duration) (slow, fast *endpoint.Endpoint) {
 	isFast := func(e *endpoint.Endpoint) bool {
-		return x.nature[e.ID] > 0 && float64(x.nature[e.ID]) <= endpoint.AlikePaces*float64(best)
+		return x.nature[e] > 0 && float64(x.nature[e]) <= endpoint.AlikePaces*float64(best)
 	}
-	isSlow := func(e *endpoint.Endpoint) bool { return x.nature[e.ID] > 0 && !isFast(e) }
+	isSlow := func(e *endpoint.Endpoint) bool { return x.nature[e] > 0 && !isFast(e) }
 	for _, a := range x.byNeed(isSlow) {
 		for _, b := range slices.Backward(x.byNeed(isSlow)) {
 			if float64(x.longest[a]) <= alikeLengths*float64(x.longest[b]) {
--- a/internal/version/rollout/exchange_test.go
+++ b/internal/version/rollout/exchange_test.go
@@ -15,9 +15,9 @@
 	g, seen := &groups{modelOf: map[string]string{}}, nature{}
 	for i, e := range list {
 		g.modelOf[e.ID] = []string{"a", "b"}[i/8]
-		seen[e.ID] = 50 * time.Millisecond
+		seen[e] = 50 * time.Millisecond
 		if i%2 == 1 {
-			seen[e.ID] = 65 * time.Millisecond
+			seen[e] = 65 * time.Millisecond
 		}
 	}
 	return g, list, seen, map[string]int64{"a": 1 + behind, "b": 1 + behind}
@@ -56,7 +56,7 @@
 		x.run()
 		slow := map[string]int{}
 		for _, e := range list {
-			if seen[e.ID] > 50*time.Millisecond {
+			if seen[e] > 50*time.Millisecond {
 				slow[g.modelOf[e.ID]]++
 			}
 		}
@@ -98,10 +98,10 @@
 		list[0].LearnPace(now, 200*time.Millisecond)
 	}
 	seen.note(now, list)
-	if seen["r00"] != 50*time.Millisecond || seen["r01"] != 0 {
+	if seen[list[0]] != 50*time.Millisecond || seen[list[1]] != 0 {
 		t.Errorf("%v", seen)
 	}
-	seen.forget(map[string]bool{"r01": true})
+	seen.forget(map[*endpoint.Endpoint]bool{list[1]: true})
 	if len(seen) != 0 {
 		t.Errorf("%v of a replica that is gone", seen)
 	}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -46,8 +46,10 @@
 	Longest func(now time.Time) map[string]int64
 }
 
-// replicaState is what the holder knows of a replica's orders.
+// replicaState is what the holder knows of the orders of one incarnation of a replica: its count of
+// orders begins anew with each start.
 type replicaState struct {
+	endpoint *endpoint.Endpoint
 	asking   bool
 	report   port.ReplicaReport
 	reportAt time.Time
@@ -147,7 +149,7 @@
 func (r *Rollout) underOrder(members []*endpoint.Endpoint) map[string]bool {
 	ordered := map[string]bool{}
 	for _, e := range members {
-		if state := r.replicas[e.ID]; state != nil && state.ordered {
+		if state := r.known(e); state != nil && state.ordered {
 			ordered[e.ID] = true
 		}
 	}
@@ -167,7 +169,7 @@
 // returns how many are then.
 func (r *Rollout) orderLoads(now time.Time, members []*endpoint.Endpoint, loading, atOnce int) int {
 	for _, next := range r.wanted(members) {
-		state := r.state(next.endpoint.ID)
+		state := r.state(next.endpoint)
 		if state.ordered || now.Before(state.notAt) {
 			continue
 		}
@@ -197,26 +199,35 @@
 	return limit
 }
 
-func (r *Rollout) state(id string) *replicaState {
-	state := r.replicas[id]
+// known returns the state of a replica's incarnation, nil if there is none.
+func (r *Rollout) known(e *endpoint.Endpoint) *replicaState {
+	if state := r.replicas[e.ID]; state != nil && state.endpoint == e {
+		return state
+	}
+	return nil
+}
+
+func (r *Rollout) state(e *endpoint.Endpoint) *replicaState {
+	state := r.known(e)
 	if state == nil {
-		state = &replicaState{}
-		r.replicas[id] = state
+		state = &replicaState{endpoint: e}
+		r.replicas[e.ID] = state
 	}
 	return state
 }
 
 func (r *Rollout) forget(endpoints []*endpoint.Endpoint) {
-	listed := map[string]bool{}
+	listed := make(map[*endpoint.Endpoint]bool, len(endpoints))
+	ids := make(map[string]bool, len(endpoints))
 	for _, one := range endpoints {
-		listed[one.ID] = true
+		listed[one], ids[one.ID] = true, true
 	}
-	for id := range r.replicas {
-		if !listed[id] {
+	for id, state := range r.replicas {
+		if !listed[state.endpoint] {
 			delete(r.replicas, id)
 		}
 	}
-	r.groups.forget(listed)
+	r.groups.forget(ids)
 	r.nature.forget(listed)
 }
 
@@ -224,12 +235,12 @@
 func (r *Rollout) follow(now time.Time, members []*endpoint.Endpoint, limit *loadLimit) int {
 	loading := 0
 	for _, e := range members {
-		if state := r.replicas[e.ID]; state != nil && state.ordered {
+		if state := r.known(e); state != nil && state.ordered {
 			loading++
 		}
 	}
 	for _, e := range members {
-		state := r.replicas[e.ID]
+		state := r.known(e)
 		if state == nil || !state.ordered {
 			continue
 		}
@@ -300,7 +311,7 @@
 
 // underWay reports whether a load is ordered already.
 func (r *Rollout) underWay(next wanted) bool {
-	state := r.replicas[next.endpoint.ID]
+	state := r.known(next.endpoint)
 	return state != nil && state.ordered && state.model == next.model && state.version == next.version
 }
 
@@ -309,7 +320,8 @@
 	state.asking = true
 	r.options.Queue.Add(task.Report{Replica: one.ID, Address: one.Address, Done: func(now time.Time, report port.ReplicaReport) {
 		state.asking = false
-		if !report.OK {
+		if !report.OK || !report.StartedAt.Equal(one.StartedAt) {
+			// What another incarnation says is no ground for an order: its record is on the way.
 			state.notAt = now.Add(failPause)
 			return
 		}
