Replicas that start again under their IDs: simulated, and their former lives' orders are minded

Cause: a replica that starts again counts its orders anew, so an order of its former life that got no answer may be carried out behind a newer one.

Change: the simulator has replicas that die and start again under their ID, at once, after their record is gone, or twice within a heartbeat. The order lease's holder keeps a replica's unanswered orders over its lives for 8 s and gives no order behind which one of them would be carried out.

Ruled out: not repeating an order for 8 s, which costs each late answer a version.

--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -120,10 +120,10 @@
 	// StartedAt is when the incarnation started by the replica's own clock, to the millisecond; zero
 	// where replicas don't tell.
 	StartedAt time.Time
-	Service string
-	Address string
-	Zone    string
-	Slots   int
+	Service   string
+	Address   string
+	Zone      string
+	Slots     int
 	// Draining replicas get no new work.
 	Draining bool
 	// ColdFor is how much longer the replica is cold, as of when it wrote the record.
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -53,6 +53,7 @@
 	{"all-cold", "all replicas turn cold at the same moment", 20 * time.Second, time.Second, allCold},
 	{"scorer-drains", "a replica that scores announces that it leaves, and goes", 12 * time.Second, time.Second, func(w *World, _ time.Duration) { w.anyScorer().drain() }},
 	{"zone-evacuated", "the platform takes a zone out of use, and back", 12 * time.Second, 8 * time.Second, evacuate},
+	{"replica-restart", "a replica dies and starts again under its ID, at once or after its record is gone", 8 * time.Second, 6 * time.Second, restartReplica},
 }
 
 // FindFaults resolves names, "all" and "none" to kinds of faults.
@@ -182,3 +183,18 @@
 	n.wallAhead += step
 	w.After(lasts, func() { n.wallAhead -= step })
 }
+
+// restartReplica has a replica start again under its ID, every second time twice within a heartbeat.
+func restartReplica(w *World, lasts time.Duration) {
+	one := w.anyReplica()
+	if w.random.IntN(2) == 0 {
+		one.restart(lasts)
+		return
+	}
+	one.restart(beatEvery / 6)
+	w.After(beatEvery/3, func() {
+		if again := w.at(one.address); again != nil {
+			again.restart(beatEvery / 6)
+		}
+	})
+}
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -54,10 +54,15 @@
 	if len(w.replicas)%3 == 2 {
 		pace = pace * 13 / 10
 	}
-	r := &replica{
-		Generator: &model.Generator{ID: fmt.Sprintf("replica-%d", w.check.incarnations), Slots: replicaSlots, Pace: pace, LoadFor: loadTime, Versions: versions, Unfenced: w.options.Unfenced},
-		world:     w, address: address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%zoneCount), up: true,
-	}
+	return w.startReplica(&replica{
+		Generator: &model.Generator{ID: fmt.Sprintf("replica-%d", w.check.incarnations), StartedAt: w.Now.Truncate(time.Millisecond), Slots: replicaSlots, Pace: pace, LoadFor: loadTime, Versions: versions, Unfenced: w.options.Unfenced},
+		address:   address, zone: fmt.Sprintf("zone-%d", len(w.replicas)%zoneCount),
+	})
+}
+
+// startReplica begins an incarnation's life.
+func (w *World) startReplica(r *replica) *replica {
+	r.world, r.up = w, true
 	w.replicas = append(w.replicas, r)
 	r.turnCold()
 	r.list()
@@ -74,7 +79,7 @@
 func (r *replica) list() {
 	report := r.Report(r.world.Now)
 	value, err := json.Marshal(port.ReplicaRecord{
-		ID: r.ID, Service: generatorName, Address: r.address, Zone: r.zone, Slots: r.Slots,
+		ID: r.ID, StartedAt: r.StartedAt, Service: generatorName, Address: r.address, Zone: r.zone, Slots: r.Slots,
 		Draining: !r.drainedAt.IsZero(), Versions: report.Versions, ColdFor: max(r.cold.until.Sub(r.world.Now), 0),
 	})
 	if err != nil {
@@ -87,14 +92,9 @@
 
 // crash ends the replica; another takes its address after a while.
 func (r *replica) crash(down time.Duration) {
-	if !r.up {
+	if !r.end() {
 		return
 	}
-	r.up = false
-	for _, one := range slices.Clone(r.runs) {
-		one.crashed = true
-		one.end(task.RunInterrupted)
-	}
 	w := r.world
 	w.After(3*beatEvery, func() {
 		w.store.records.Commit(w.Now, port.RecordTransaction{Deletes: []port.RecordKey{r.key()}})
@@ -102,6 +102,36 @@
 	w.After(down, func() { w.addReplica(r.address) })
 }
 
+// restart ends the replica, which starts again under its ID after a while. Its record goes only where it
+// takes longer than the platform waits.
+func (r *replica) restart(down time.Duration) {
+	if !r.end() {
+		return
+	}
+	w := r.world
+	if down > 3*beatEvery {
+		w.After(3*beatEvery, func() {
+			w.store.records.Commit(w.Now, port.RecordTransaction{Deletes: []port.RecordKey{r.key()}})
+		})
+	}
+	w.After(down, func() {
+		w.startReplica(&replica{Generator: r.Generator.Restart(w.Now), address: r.address, zone: r.zone})
+	})
+}
+
+// end ends the replica's process with all that runs there; it reports whether there was one.
+func (r *replica) end() bool {
+	if !r.up {
+		return false
+	}
+	r.up = false
+	for _, one := range slices.Clone(r.runs) {
+		one.crashed = true
+		one.end(task.RunInterrupted)
+	}
+	return true
+}
+
 // drain announces that the replica leaves; it serves on for a while.
 func (r *replica) drain() {
 	if _, lost := r.world.link.way(r.zone, storeZone); !r.up || !r.drainedAt.IsZero() || lost {
--- /dev/null
+++ b/internal/simulation/clustersim/restart_test.go
@@ -0,0 +1,31 @@
+package clustersim
+
+import "testing"
+
+func playRestarts(t *testing.T, seed uint64, names string, unfenced bool) {
+	t.Helper()
+	faults, err := FindFaults(names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: faults, Unfenced: unfenced}
+	report(t, seed, New(options).Run())
+}
+
+// TestRestartsUnderOneID: replicas that start again under their IDs, while orders are carried out late. Of
+// these seeds each had a replica go back to an older version while a former life's unanswered orders were
+// forgotten.
+func TestRestartsUnderOneID(t *testing.T) {
+	for _, seed := range []uint64{40, 92, 145} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			playRestarts(t, seed, "replica-restart,orders-late,replica-cold,node-cut,store-forgets", true)
+		})
+	}
+}
+
+// TestAnOrderRepeatedBeforeARestart: an order without an answer is repeated with the same count and taken;
+// the replica starts again, comes by that count once more, and the first one is carried out.
+func TestAnOrderRepeatedBeforeARestart(t *testing.T) {
+	playRestarts(t, 111, "replica-restart,orders-late", false)
+}
--- a/internal/standin/model/generator.go
+++ b/internal/standin/model/generator.go
@@ -13,10 +13,12 @@
 
 // Generator is a replica that answers items with events and takes version orders.
 type Generator struct {
-	ID      string
-	Slots   int
-	Pace    time.Duration
-	LoadFor time.Duration
+	ID string
+	// StartedAt is when this life began, zero for one that doesn't tell.
+	StartedAt time.Time
+	Slots     int
+	Pace      time.Duration
+	LoadFor   time.Duration
 	// Versions are the weights that it holds.
 	Versions map[string]int64
 	// Unfenced replicas take orders of any fence.
@@ -83,6 +85,15 @@
 	}
 }
 
+// Restart returns the generator's next life under its ID: it has the versions that this one had, and
+// knows of no order, fence or run.
+func (g *Generator) Restart(now time.Time) *Generator {
+	g.settle(now)
+	return &Generator{
+		ID: g.ID, StartedAt: now.Truncate(time.Millisecond), Slots: g.Slots, Pace: g.Pace, LoadFor: g.LoadFor, Versions: g.Versions, Unfenced: g.Unfenced,
+	}
+}
+
 // Order takes a version order.
 func (g *Generator) Order(now time.Time, order port.OrderVersion) port.VersionOrderStatus {
 	g.settle(now)
@@ -111,5 +122,5 @@
 	for model, version := range g.Versions {
 		versions[model] = version
 	}
-	return port.ReplicaReport{OK: true, Loading: g.loading != "", Sequence: g.sequence, Versions: versions, Running: g.running}
+	return port.ReplicaReport{OK: true, StartedAt: g.StartedAt, Loading: g.loading != "", Sequence: g.sequence, Versions: versions, Running: g.running}
 }
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -65,6 +65,8 @@
 	loadingAt time.Time
 	// beside is the most replicas of the service that were seen to load at once with it.
 	beside int
+	// unanswered are the orders of this life and of former ones that may be carried out yet.
+	unanswered *unansweredOrders
 }
 
 // Rollout is the machine; it belongs to the node's loop.
@@ -115,7 +117,7 @@
 	}
 	endpoints := r.options.Endpoints()
 	r.nextAt = now.Add(time.Duration(len(endpoints)) * lookAtOne)
-	r.forget(endpoints)
+	r.forget(now, endpoints)
 	demand := r.options.Demand(now)
 	services := byService(endpoints)
 	for _, service := range slices.Sorted(maps.Keys(services)) {
@@ -210,20 +212,23 @@
 func (r *Rollout) state(e *endpoint.Endpoint) *replicaState {
 	state := r.known(e)
 	if state == nil {
-		state = &replicaState{endpoint: e}
+		state = &replicaState{endpoint: e, unanswered: &unansweredOrders{}}
+		if former := r.replicas[e.ID]; former != nil {
+			state.unanswered = former.unanswered
+		}
 		r.replicas[e.ID] = state
 	}
 	return state
 }
 
-func (r *Rollout) forget(endpoints []*endpoint.Endpoint) {
+func (r *Rollout) forget(now time.Time, endpoints []*endpoint.Endpoint) {
 	listed := make(map[*endpoint.Endpoint]bool, len(endpoints))
 	ids := make(map[string]bool, len(endpoints))
 	for _, one := range endpoints {
 		listed[one], ids[one.ID] = true, true
 	}
 	for id, state := range r.replicas {
-		if !listed[state.endpoint] {
+		if !listed[state.endpoint] && !state.unanswered.any(now) {
 			delete(r.replicas, id)
 		}
 	}
@@ -366,7 +371,7 @@
 		state.reportAt = time.Time{}
 		return
 	}
-	if !r.options.Lease.Act(now, one.endpoint.ID) {
+	if state.unanswered.mayFollow(now, state.report.Sequence) || !r.options.Lease.Act(now, one.endpoint.ID) {
 		return
 	}
 	state.ordered = true
@@ -377,20 +382,26 @@
 	state.orderedAt, state.loadingAt, state.beside = now, time.Time{}, 0
 	state.notAt = now.Add(firstLook)
 	one.endpoint.SetLoading(one.model, now.Add(firstLook))
-	fence := r.options.Lease.Fence()
+	fence, sequence := r.options.Lease.Fence(), state.sequence
+	state.unanswered.add(now, sequence)
 	r.options.Queue.Add(task.Order{
 		Limit: r.options.Lease.Left(now),
 		Order: port.OrderVersion{
 			Replica: one.endpoint.ID, Address: one.endpoint.Address, Model: one.model, Version: one.version,
 			Holder: r.options.Self, Fence: fence, ExpectedSequence: state.sequence,
 		},
-		Done: func(now time.Time, status port.VersionOrderStatus) { r.onOrder(now, one, state, fence, status) },
+		Done: func(now time.Time, status port.VersionOrderStatus) {
+			r.onOrder(now, one, state, fence, sequence, status)
+		},
 	})
 }
 
-func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, fence int64, status port.VersionOrderStatus) {
+func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, fence, sequence int64, status port.VersionOrderStatus) {
 	r.options.Queue.Log(event.VersionOrdered, "replica", one.endpoint.ID, "model", one.model, "version", one.version,
-		"fence", fence, "sequence", state.sequence, "status", int(status))
+		"fence", fence, "sequence", sequence, "status", int(status))
+	if status != port.VersionOrderUnknown {
+		state.unanswered.answered(sequence)
+	}
 	switch status {
 	case port.VersionOrderAccepted:
 		state.answered = true
