--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -280,10 +280,12 @@
 	}
 }
 
-// rereadAfter spreads the nodes' whole reads over half of their interval.
+// rereadAfter spreads the nodes' whole reads over half of their interval: nodes that start, or come back
+// in touch, at one moment read at one. Spread over a quarter of it, 87 nodes made up to 642 reads in a
+// second, 156 in the first ten seconds (TestRegionReturns).
 func (w *Watch) rereadAfter() time.Duration {
 	interval := max(w.options.Reread, time.Duration(w.size)*rereadPerRecord)
-	return interval/2 + time.Duration((1+w.options.Jitter)/2*float64(interval)/2)
+	return interval/2 + time.Duration(w.options.Jitter*float64(interval)/2)
 }
 
 // failed begins anew with a whole read, but for a watch of a large table, which goes on from where it
