--- a/internal/simulation/clustersim/restart_test.go
+++ b/internal/simulation/clustersim/restart_test.go
@@ -24,8 +24,18 @@
 	}
 }
 
-// TestAnOrderRepeatedBeforeARestart: an order without an answer is repeated with the same count and taken;
-// the replica starts again, comes by that count once more, and the first one is carried out.
+// TestOrdersOfFormerLives: seeds in which an order without an answer was repeated with the same count and
+// taken; the replica started again, came by that count once more, and the first order was carried out.
+func TestOrdersOfFormerLives(t *testing.T) {
+	for _, seed := range []uint64{111, 120, 189} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			playRestarts(t, seed, "replica-restart,orders-late", false)
+		})
+	}
+}
+
+// TestAnOrderRepeatedBeforeARestart is a seed of the same in which no count tells the two orders apart.
 func TestAnOrderRepeatedBeforeARestart(t *testing.T) {
-	playRestarts(t, 111, "replica-restart,orders-late", false)
+	playRestarts(t, 194, "replica-restart,orders-late", false)
 }
