Those that would take over a job or a lease spread by how many nodes there are

Cause: all nodes judge a silent owner, over 250 ms; a node that owns nothing hears of the first one's write within a third of a second now, so that 986 nodes would all write to one part of the store, which takes 200 writes a second. Change: the holder of the order lease counts the nodes' status records (2 reads each 20 s at 986 nodes) and tells the count in one record; takers come 25 ms apart by it, over 4 s at the most, as the few left by a mass loss must not wait longer. TestTakersSpreadByTheirNumber: before others hear, at most 200 of 986 and of 1,972 nodes try (all before). Ruled out: each node reading the status table (grows with machines squared).

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -99,6 +99,7 @@
 	lapses     lapses
 	unreadable unreadableRecords
 	status     statusWriter
+	census     census
 	clock      storeClock
 	latency    callLatency
 	startedAt  time.Time
@@ -121,7 +122,7 @@
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
 		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
-		Latency:    n.Latency,
+		Latency: n.Latency, Nodes: n.Nodes,
 		LengthHint: options.Decoder.LengthHint, MostEvents: n.mostEvents, ExpectedTokens: n.expectedTokens, Observed: n.observed,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
 	})
@@ -210,6 +211,7 @@
 	}
 	n.tickDuties(now)
 	n.tickStatus(now)
+	n.tickCensus(now)
 	n.tickLatency(now)
 }
 
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -16,7 +16,7 @@
 
 // Keys of the records in LeasePartition.
 const (
-	// UsageClockKey is that of the clock of the reports of use; all others are leases.
+	// UsageClockKey is that of the clock of the reports of use; all others but NodeCountKey are leases.
 	UsageClockKey = "usage-clock"
 
 	orderLeaseKey   = "version-orders"
@@ -53,7 +53,7 @@
 		Key:    port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: key},
 		Holder: n.options.Name, Incarnation: n.options.Incarnation, Queue: n.queue, Pause: n.options.OrderPause, Cadence: cadence,
 		Fenced: fenced, StartedAt: n.startedAt,
-		Jitter: n.random.Float64(), Observed: n.observed, Clock: n.clock.bounds,
+		Jitter: n.random.Float64(), Nodes: n.Nodes, Observed: n.observed, Clock: n.clock.bounds,
 	})
 	n.leases[key] = lease
 	return lease
@@ -159,6 +159,10 @@
 
 // onLeaseRecord takes a record of LeasePartition.
 func (n *Node) onLeaseRecord(now time.Time, record port.Record) {
+	if record.Key == NodeCountKey {
+		n.onNodeCount(record)
+		return
+	}
 	if record.Key == UsageClockKey {
 		if n.usage != nil {
 			n.usage.keeper.OnRecord(record)
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -57,6 +57,7 @@
 	StoreRegained      = 802
 	RecordUnreadable   = 803
 	StoreDistance      = 805
+	NodesCounted       = 806
 	JobAccepted        = 900
 	JobRefused         = 901
 	JobTaken           = 902
@@ -136,6 +137,7 @@
 	{StoreRegained, Info, "record store regained", "A table of the record store was read whole and is watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
 	{StoreDistance, Info, "record store's distance", "What this node holds calls to the record store to take has doubled or halved since it last said so, from 50 ms on."},
+	{NodesCounted, Info, "nodes counted", "So many nodes told of themselves of late, by the holder of the order lease; those that would take something over spread by it."},
 	{JobAccepted, Info, "batch job accepted", "The job stands in the record store; its client was told so."},
 	{JobRefused, Warn, "batch job refused", "The job was not accepted; outcome tells whether it may stand in the store all the same."},
 	{JobTaken, Info, "batch job taken over", "This node runs the job's items from now on; its former owner fell silent or handed it over."},
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -106,6 +106,8 @@
 	Quarantine *quarantine.Quarantine
 	// Latency returns how long calls to the store take of late.
 	Latency func() time.Duration
+	// Nodes returns how many nodes there are, 0 where that is not known.
+	Nodes func() int
 	// Observed returns the time up to which a change of a head would have been heard of.
 	Observed func(now time.Time) time.Time
 	// Clock returns the least and the most that the store's steady clock may show;
--- a/internal/version/batch/owner_test.go
+++ b/internal/version/batch/owner_test.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,3 +126,26 @@
 		t.Errorf("%v: the result that was listed stays", got)
 	}
 }
+
+// TestTakersSpreadByTheirNumber: before the others have heard of the first that takes a silent owner's job,
+// only so many try that one part of the store takes their writes within a second.
+func TestTakersSpreadByTheirNumber(t *testing.T) {
+	const heardWithin, partWrites = time.Second / 3, 200
+	for _, c := range []struct{ nodes, most int }{{10, 10}, {100, 40}, {986, partWrites}, {1972, partWrites}} {
+		var spreads []time.Duration
+		for i := range c.nodes {
+			j := newBench(fmt.Sprintf("node-%d", i), newStore()).jobs
+			j.options.Nodes = func() int { return c.nodes }
+			spreads = append(spreads, j.spread("j"))
+		}
+		first, tries := slices.Min(spreads), 0
+		for _, one := range spreads {
+			if one <= first+heardWithin {
+				tries++
+			}
+		}
+		if tries > c.most || first > takeoverSpread {
+			t.Errorf("%d of %d nodes try, the first after %s", tries, c.nodes, first)
+		}
+	}
+}
