--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -82,9 +82,11 @@
 	ReplicaFull    ReplicaKind = "full"
 	ReplicaDrains  ReplicaKind = "drains"
 	ReplicaCrashes ReplicaKind = "crashes"
-	ReplicaLoses   ReplicaKind = "loses"
-	ReplicaDoubles ReplicaKind = "doubles"
-	ReplicaSlow    ReplicaKind = "slow"
+	// ReplicaRestarts ends a replica, which starts again under its ID and address.
+	ReplicaRestarts ReplicaKind = "restarts"
+	ReplicaLoses    ReplicaKind = "loses"
+	ReplicaDoubles  ReplicaKind = "doubles"
+	ReplicaSlow     ReplicaKind = "slow"
 )
 
 func (NodePause) isFault()    {}
@@ -152,10 +154,19 @@
 	case 10:
 		return StoreFault{Kind: stores[random.IntN(len(stores))], For: upTo(random, 4*time.Second)}
 	default:
-		return ReplicaFault{Kind: replicas[random.IntN(len(replicas))], For: upTo(random, 4*time.Second)}
+		return restartOf(ReplicaFault{Kind: replicas[random.IntN(len(replicas))], For: upTo(random, 4*time.Second)})
 	}
 }
 
+// restartOf makes a restart of a crash that is short, so that seeds draw the same schedules as without
+// restarts.
+func restartOf(fault ReplicaFault) ReplicaFault {
+	if fault.Kind == ReplicaCrashes && fault.For < 2*time.Second {
+		fault.Kind = ReplicaRestarts
+	}
+	return fault
+}
+
 // disturb injects rounds of faults and returns how often each kind was injected.
 func (s *Soak) disturb(ctx context.Context) map[string]int {
 	random := s.random(1)
@@ -341,6 +352,9 @@
 	case ReplicaCrashes:
 		s.replace(r, false)
 		return
+	case ReplicaRestarts:
+		r.Restart()
+		return
 	}
 	time.Sleep(fault.For)
 	healReplica(r)
