--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -98,6 +98,8 @@
 	evacuated  map[string]bool
 	lapses     lapses
 	unreadable unreadableRecords
+	// silentAdds is set while a whole reading adds more replicas than the log takes a line for.
+	silentAdds bool
 	status     statusWriter
 	census     census
 	clock      storeClock
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -119,11 +119,16 @@
 	for _, target := range change.Targets {
 		n.rollout.Name(target)
 	}
-	listed := map[string]bool{}
+	listed := make(map[string]bool, len(change.Replicas))
+	n.silentAdds = whole && len(change.Replicas) > mostAddedLines
 	for _, record := range change.Replicas {
 		listed[record.ID] = true
 		n.putReplica(now, n.endpoints.Put(record))
 	}
+	if n.silentAdds {
+		n.queue.Log(event.ReplicasListed, "replicas", len(change.Replicas))
+		n.silentAdds = false
+	}
 	for _, gone := range change.Gone {
 		n.removeGone(now, gone, unreadable(change.Unreadable, gone.ID))
 	}
@@ -136,6 +141,10 @@
 	}
 }
 
+// mostAddedLines is from how many replicas on a whole reading logs one line for all: a line each is ten
+// thousand at the start of each node of a large fleet, of which its ring of lines takes a thousand.
+const mostAddedLines = 500
+
 // listsReplicas reports whether a table holds the replicas, by its place among the
 // tables of the deployment.
 func (n *Node) listsReplicas(table string) bool {
@@ -152,6 +161,7 @@
 		n.noteReplica(now, endpoint.Change{Endpoint: change.Former, Removed: true})
 	}
 	switch {
+	case change.Added && n.silentAdds:
 	case change.Added:
 		n.queue.Log(event.ReplicaAdded, "replica", one.ID, "service", one.Service, "address", one.Address, "zone", one.Zone,
 			"versions", fmt.Sprint(one.Versions), "leaving", one.Draining, "restarted", change.Former != nil)
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -37,6 +37,7 @@
 	QuarantineTrial    = 615
 	QuarantineLifted   = 616
 	ReplicaLeaving     = 700
+	ReplicasListed     = 709
 	ReplicaAdded       = 710
 	ReplicaRemoved     = 711
 	ReplicaEjected     = 712
@@ -117,6 +118,7 @@
 	{QuarantineTrial, Warn, "quarantined request on trial", "This node sends a quarantined request to one replica, to see whether it still crashes those that run it."},
 	{QuarantineLifted, Info, "quarantine lifted", "A replica answered a quarantined request, or its records were collected; it is sent to replicas again."},
 	{ReplicaLeaving, Info, "replica leaving", "A replica gets no new work."},
+	{ReplicasListed, Info, "replicas listed", "The list was read whole and holds so many replicas, too many for a line each."},
 	{ReplicaAdded, Info, "replica added", "A replica stands in the list and gets work."},
 	{ReplicaRemoved, Info, "replica removed", "A replica left the list."},
 	{ReplicaEjected, Warn, "replica ejected", "A replica failed repeatedly and gets no work for a while."},
