--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -326,8 +326,12 @@
 	state.asking = true
 	r.options.Queue.Add(task.Report{Replica: one.ID, Address: one.Address, Done: func(now time.Time, report port.ReplicaReport) {
 		state.asking = false
-		if !report.OK || !report.StartedAt.Equal(one.StartedAt) {
+		if report.OK && !report.StartedAt.Equal(one.StartedAt) {
 			// What another incarnation says is no ground for an order: its record is on the way.
+			r.options.Queue.Log(event.ReportOfAnotherLife, "replica", one.ID, "listed_start_ms", one.StartedAt.UnixMilli(), "told_start_ms", report.StartedAt.UnixMilli())
+			report.OK = false
+		}
+		if !report.OK {
 			state.notAt = now.Add(failPause)
 			return
 		}
