--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -326,8 +326,8 @@
 	state.asking = true
 	r.options.Queue.Add(task.Report{Replica: one.ID, Address: one.Address, Done: func(now time.Time, report port.ReplicaReport) {
 		state.asking = false
-		if report.OK && !report.StartedAt.Equal(one.StartedAt) {
-			// What another incarnation says is no ground for an order: its record is on the way.
+		if report.OK && ofAnotherLife(report, one) {
+			// It is no ground for an order: the other life's record is on the way.
 			r.options.Queue.Log(event.ReportOfAnotherLife, "replica", one.ID, "listed_start_ms", one.StartedAt.UnixMilli(), "told_start_ms", report.StartedAt.UnixMilli())
 			report.OK = false
 		}
@@ -353,6 +353,12 @@
 	}})
 }
 
+// ofAnotherLife reports whether a report is another incarnation's than the endpoint. Replicas may tell
+// their start in their records alone: while such reports counted as another's, no version was loaded.
+func ofAnotherLife(report port.ReplicaReport, e *endpoint.Endpoint) bool {
+	return !report.StartedAt.IsZero() && !report.StartedAt.Equal(e.StartedAt)
+}
+
 // judge takes a report on an order under way. Reports lag, so an order without an
 // answer is held for lost only after a while.
 func (r *Rollout) judge(now time.Time, state *replicaState, report port.ReplicaReport) {
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -263,3 +263,25 @@
 		t.Errorf("%d replicas load at once after two rounds, should be %d", b.atOnce, want)
 	}
 }
+
+// TestReportsOfAnotherLife: a report that tells another start than the record is no ground for an order; one
+// that tells none is.
+func TestReportsOfAnotherLife(t *testing.T) {
+	listed := time.Unix(900, 0)
+	for _, c := range []struct {
+		name   string
+		told   time.Time
+		orders bool
+	}{{"the same start", listed, true}, {"no start", time.Time{}, true}, {"another start", listed.Add(time.Minute), false}} {
+		b := newBench(2)
+		for _, e := range b.endpoints {
+			e.StartedAt = listed
+			b.generators[e.ID].StartedAt = c.told
+		}
+		b.rollout.Name(port.VersionTarget{Model: "m", Version: 2})
+		b.run(5 * time.Second)
+		if got := b.orders > 0; got != c.orders {
+			t.Errorf("%s: %d orders", c.name, b.orders)
+		}
+	}
+}
