--- a/internal/process/cluster/workingset.go
+++ b/internal/process/cluster/workingset.go
@@ -10,8 +10,9 @@
 
 const (
 	// spareSlots is by how much the slots of a model's replicas exceed the items of its jobs that may run
-	// at once: half of the replicas may be lost, be loading, or lie in an evacuated zone.
-	spareSlots = 2.0
+	// at once: one replica in five may be lost, or lie in an evacuated zone. Each one more is loaded at
+	// every second version, at the price of two connections and an order.
+	spareSlots = 1.25
 	// leastReplicas is how many replicas a model has at the least, also while nothing is known of its
 	// jobs: more than the six below which replicas follow all models.
 	leastReplicas = 12
@@ -26,7 +27,7 @@
 }
 
 // workingSet returns the replicas that are to have the versions of models. In a large service these are as
-// many as the models' items need, whatever its size: 834 for six trainers with 208 items every 4 s
+// many as the models' items need, whatever its size: 534 for six trainers with 208 items every 4 s
 // (TestWorkingSetGrowsWithTheWork). While all replicas were dealt, half of a sixth of 9,625, or 802, loaded
 // each version.
 func (n *Node) workingSet(now time.Time, models []string) []*endpoint.Endpoint {
