--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -10,6 +10,7 @@
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/version/recordlease"
 )
 
 const (
@@ -24,13 +25,6 @@
 	takeoverAfter  = 950 * time.Millisecond
 	latencies      = 4
 	takeoverSpread = 250 * time.Millisecond
-	// takeoverStep, for each node that there is, is the time over which they spread if that is longer: one
-	// would take the job each 25 ms, and the others hear of the first within a third of a second. Over 250
-	// ms 986 nodes would all have tried by then, at a part of the store that takes 200 writes a second.
-	takeoverStep = 25 * time.Millisecond
-	// longestSpread bounds the wait of the few that are left when most are lost. From 160 nodes on more
-	// try before they hear: 81 of 986, 163 of twice as many.
-	longestSpread = 4 * time.Second
 	// unconfirmedFor is how long an owner that can't write its head starts items.
 	unconfirmedFor = 2 * time.Second
 )
@@ -122,10 +116,7 @@
 
 // spread is how long this node leaves a job to others that would take it.
 func (j *Jobs) spread(id string) time.Duration {
-	over := takeoverSpread
-	if j.options.Nodes != nil {
-		over = max(over, min(time.Duration(j.options.Nodes())*takeoverStep, longestSpread))
-	}
+	over := recordlease.SpreadOver(takeoverSpread, j.options.Nodes)
 	return time.Duration(xxhash.Sum64String(id+"/"+j.options.Self) % uint64(over))
 }
 
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -216,19 +216,10 @@
 	if l.row.Holder == "" || l.row.Holder == l.options.Holder {
 		return true
 	}
-	jitter := time.Duration(l.options.Jitter * float64(l.takeoverSpread()))
+	jitter := time.Duration(l.options.Jitter * float64(SpreadOver(l.options.Cadence.TakeoverSpread, l.options.Nodes)))
 	return observed.Sub(l.changedAt) >= l.options.Cadence.TakeoverAfter+jitter
 }
 
-// takeoverSpread is the time over which challengers spread, so that each hears whether another was first:
-// one comes each takeoverStep, however many there are.
-func (l *Lease) takeoverSpread() time.Duration {
-	if l.options.Nodes == nil {
-		return l.options.Cadence.TakeoverSpread
-	}
-	return max(l.options.Cadence.TakeoverSpread, min(time.Duration(l.options.Nodes())*takeoverStep, longestSpread))
-}
-
 func (l *Lease) acquire(now time.Time) {
 	former := l.row
 	next := &doorstepv1.OrderLease{Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1, ActsFromMs: former.ActsFromMs}
@@ -318,15 +309,6 @@
 	})
 }
 
-const (
-	// takeoverStep is the time from one challenger to the next: in the third of a second until the others
-	// hear of the first, some 13 more try.
-	takeoverStep = 25 * time.Millisecond
-	// longestSpread bounds the wait of the few that are left when most are lost. From 160 nodes on more
-	// try before they hear: 81 of 986, 163 of twice as many, of the 200 writes a second of one part.
-	longestSpread = 4 * time.Second
-)
-
 // retryPause is the wait after a call that brought nothing.
 const retryPause = 100 * time.Millisecond
 
