--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -34,11 +34,11 @@
 	// from where it stands after a call that got no answer. Nodes that lose the store lose it together,
 	// and its return would meet whole readings by all.
 	largeTable = 500
-	// relaxedRate and relaxedBurst are the calls a second that bring changes to a relaxed watch: 986
+	// relaxedRate and relaxedBurst bound the calls that bring changes to a relaxed watch, by the second: 986
 	// nodes made some 25 each, of the 16,000 reads a second that all have together. Changes come up to a
 	// third of a second later then, of the seconds within which a leaving replica must be known.
 	relaxedRate  = 3
-	relaxedBurst = 4
+	relaxedBurst = 1
 )
 
 // Options configure a Watch.
