--- /dev/null
+++ b/internal/process/endpoint/registry.go
@@ -0,0 +1,134 @@
+package endpoint
+
+import (
+	"slices"
+
+	"github.com/doorstep/doorstep/internal/port"
+)
+
+// Registry holds the endpoints by the replicas' IDs and addresses, and by service.
+type Registry struct {
+	byID      map[string]*Endpoint
+	byAddress map[string]*Endpoint
+	byService map[string]*Pool
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{byID: map[string]*Endpoint{}, byAddress: map[string]*Endpoint{}, byService: map[string]*Pool{}}
+}
+
+// Len returns how many endpoints are listed.
+func (r *Registry) Len() int { return len(r.byID) }
+
+// Find returns an endpoint, nil when it is not listed.
+func (r *Registry) Find(id string) *Endpoint { return r.byID[id] }
+
+// At returns the endpoint at an address, the one listed last of several, nil when there is none.
+func (r *Registry) At(address string) *Endpoint { return r.byAddress[address] }
+
+// All returns all endpoints in the order of their IDs.
+func (r *Registry) All() []*Endpoint {
+	list := make([]*Endpoint, 0, len(r.byID))
+	for _, e := range r.byID {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, compareByID)
+	return list
+}
+
+// Service returns the endpoints of a service in the order of their IDs.
+func (r *Registry) Service(name string) []*Endpoint {
+	if pool := r.byService[name]; pool != nil {
+		return pool.All()
+	}
+	return nil
+}
+
+// Pool returns the endpoints of a service, nil if it never had any.
+func (r *Registry) Pool(name string) *Pool { return r.byService[name] }
+
+// Change says how an endpoint changed.
+type Change struct {
+	Endpoint *Endpoint
+	// Added, Leaving and Removed tell of the change; none is set for a mere update.
+	Added, Leaving, Removed bool
+	// Former is the incarnation that the added one replaces under its ID, nil if there is none.
+	Former *Endpoint
+}
+
+// Put takes a replica's record. One that is older than what is known changes nothing: a watch that goes
+// on behind a whole reading tells of changes again.
+func (r *Registry) Put(record port.ReplicaRecord) Change {
+	known := r.byID[record.ID]
+	if known == nil {
+		return r.add(record)
+	}
+	if known.newerThan(record.Revision) {
+		return Change{Endpoint: known}
+	}
+	if known.replacedBy(&record) {
+		r.Remove(record.ID)
+		change := r.add(record)
+		change.Former = known
+		return change
+	}
+	leaving := record.Draining && !known.Draining
+	before := known.Versions
+	versions := make(map[string]int64, len(record.Versions))
+	for model, version := range record.Versions {
+		versions[model] = max(version, before[model])
+	}
+	known.ReplicaRecord = record
+	known.Versions = before
+	known.pool.setVersions(known, versions)
+	return Change{Endpoint: known, Leaving: leaving}
+}
+
+func (r *Registry) add(record port.ReplicaRecord) Change {
+	fresh := &Endpoint{ReplicaRecord: record}
+	r.byID[record.ID] = fresh
+	r.byAddress[record.Address] = fresh
+	pool := r.byService[record.Service]
+	if pool == nil {
+		pool = newPool()
+		r.byService[record.Service] = pool
+	}
+	pool.add(fresh)
+	return Change{Endpoint: fresh, Added: true, Leaving: record.Draining}
+}
+
+// newerThan reports whether the endpoint is known by a newer record than that of a revision; 0 tells
+// nothing.
+func (e *Endpoint) newerThan(revision int64) bool { return revision != 0 && revision < e.Revision }
+
+// replacedBy reports whether a newer record tells of another incarnation. A replica that starts again
+// under its ID holds nothing of before: requests that were at it have ended, its versions may be lower,
+// and its address may be another. Which of two lives is the newer one is told by the store's
+// revisions, as the clocks of replicas step.
+func (e *Endpoint) replacedBy(record *port.ReplicaRecord) bool {
+	return !record.StartedAt.Equal(e.StartedAt) || record.Service != e.Service || record.Address != e.Address
+}
+
+// Gone drops a replica whose record is gone as of a revision, unless it has a newer one.
+func (r *Registry) Gone(gone port.GoneReplica) Change {
+	if known := r.byID[gone.ID]; known != nil && known.newerThan(gone.Revision) {
+		return Change{}
+	}
+	return r.Remove(gone.ID)
+}
+
+// Remove drops a replica that is no longer listed.
+func (r *Registry) Remove(id string) Change {
+	known := r.byID[id]
+	if known == nil {
+		return Change{}
+	}
+	known.Draining = true
+	delete(r.byID, id)
+	if r.byAddress[known.Address] == known {
+		delete(r.byAddress, known.Address)
+	}
+	known.pool.remove(known)
+	return Change{Endpoint: known, Removed: true}
+}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -47,29 +47,6 @@
 	Longest func(now time.Time) map[string]int64
 }
 
-// replicaState is what the holder knows of the orders of one incarnation of a replica: its count of
-// orders begins anew with each start.
-type replicaState struct {
-	endpoint *endpoint.Endpoint
-	asking   bool
-	report   port.ReplicaReport
-	reportAt time.Time
-	notAt    time.Time
-	// ordered is the order under way.
-	ordered   bool
-	answered  bool
-	model     string
-	version   int64
-	sequence  int64
-	orderedAt time.Time
-	// loadingAt is when the replica last told that it carries the order out.
-	loadingAt time.Time
-	// beside is the most replicas of the service that were seen to load at once with it.
-	beside int
-	// unanswered are the orders of this life and of former ones that may be carried out yet.
-	unanswered *unansweredOrders
-}
-
 // Rollout is the machine; it belongs to the node's loop.
 type Rollout struct {
 	options  Options
@@ -202,26 +179,6 @@
 	return limit
 }
 
-// known returns the state of a replica's incarnation, nil if there is none.
-func (r *Rollout) known(e *endpoint.Endpoint) *replicaState {
-	if state := r.replicas[e.ID]; state != nil && state.endpoint == e {
-		return state
-	}
-	return nil
-}
-
-func (r *Rollout) state(e *endpoint.Endpoint) *replicaState {
-	state := r.known(e)
-	if state == nil {
-		state = &replicaState{endpoint: e, unanswered: &unansweredOrders{}}
-		if former := r.replicas[e.ID]; former != nil {
-			state.unanswered = former.unanswered
-		}
-		r.replicas[e.ID] = state
-	}
-	return state
-}
-
 func (r *Rollout) forget(now time.Time, endpoints []*endpoint.Endpoint) {
 	listed := make(map[*endpoint.Endpoint]bool, len(endpoints))
 	ids := make(map[string]bool, len(endpoints))
@@ -314,118 +271,3 @@
 	q.may = q.may[:more]
 	return q
 }
-
-// underWay reports whether a load is ordered already.
-func (r *Rollout) underWay(next wanted) bool {
-	state := r.known(next.endpoint)
-	return state != nil && state.ordered && state.model == next.model && state.version == next.version
-}
-
-// ask asks a replica for its state.
-func (r *Rollout) ask(one *endpoint.Endpoint, state *replicaState) {
-	state.asking = true
-	r.options.Queue.Add(task.Report{Replica: one.ID, Address: one.Address, Done: func(now time.Time, report port.ReplicaReport) {
-		state.asking = false
-		if report.OK && ofAnotherLife(report, one) {
-			// It is no ground for an order: the other life's record is on the way.
-			r.options.Queue.Log(event.ReportOfAnotherLife, "replica", one.ID, "listed_start_ms", one.StartedAt.UnixMilli(), "told_start_ms", report.StartedAt.UnixMilli())
-			report.OK = false
-		}
-		if !report.OK {
-			state.notAt = now.Add(failPause)
-			return
-		}
-		state.report = report
-		state.reportAt = now
-		for model, version := range report.Versions {
-			one.LearnVersion(model, version)
-		}
-		state.notAt = now
-		if state.ordered {
-			state.notAt = now.Add(lookEvery)
-			r.judge(now, state, report)
-			if report.Loading {
-				state.loadingAt = now
-				one.SetLoading(state.model, now.Add(2*lookEvery))
-			}
-		}
-		r.Tick(now)
-	}})
-}
-
-// ofAnotherLife reports whether a report is another incarnation's than the endpoint. Replicas may tell
-// their start in their records alone: while such reports counted as another's, no version was loaded.
-func ofAnotherLife(report port.ReplicaReport, e *endpoint.Endpoint) bool {
-	return !report.StartedAt.IsZero() && !report.StartedAt.Equal(e.StartedAt)
-}
-
-// judge takes a report on an order under way. Reports lag, so an order without an
-// answer is held for lost only after a while.
-func (r *Rollout) judge(now time.Time, state *replicaState, report port.ReplicaReport) {
-	taken := report.Loading || report.Sequence > state.sequence
-	if !state.answered && !taken && now.Sub(state.orderedAt) >= doubtFor {
-		state.ordered = false
-	}
-}
-
-// order sends an order, on the ground of a fresh report.
-func (r *Rollout) order(now time.Time, one wanted, state *replicaState) {
-	if state.asking {
-		return
-	}
-	if now.Sub(state.reportAt) > reportLife || !state.reportAt.After(state.orderedAt) {
-		r.ask(one.endpoint, state)
-		return
-	}
-	if state.report.Loading {
-		state.notAt = now.Add(lookEvery)
-		state.reportAt = time.Time{}
-		return
-	}
-	if state.unanswered.mayFollow(now, state.report.Sequence) || !r.options.Lease.Act(now, one.endpoint.ID) {
-		return
-	}
-	state.ordered = true
-	state.answered = false
-	state.model = one.model
-	state.version = one.version
-	state.sequence = state.report.Sequence
-	state.orderedAt, state.loadingAt, state.beside = now, time.Time{}, 0
-	state.notAt = now.Add(firstLook)
-	one.endpoint.SetLoading(one.model, now.Add(firstLook))
-	fence, sequence := r.options.Lease.Fence(), state.sequence
-	state.unanswered.add(now, sequence)
-	r.options.Queue.Add(task.Order{
-		Limit: r.options.Lease.Left(now),
-		Order: port.OrderVersion{
-			Replica: one.endpoint.ID, Address: one.endpoint.Address, Model: one.model, Version: one.version,
-			Holder: r.options.Self, Fence: fence, ExpectedSequence: state.sequence,
-		},
-		Done: func(now time.Time, status port.VersionOrderStatus) {
-			r.onOrder(now, one, state, fence, sequence, status)
-		},
-	})
-}
-
-func (r *Rollout) onOrder(now time.Time, one wanted, state *replicaState, fence, sequence int64, status port.VersionOrderStatus) {
-	r.options.Queue.Log(event.VersionOrdered, "replica", one.endpoint.ID, "model", one.model, "version", one.version,
-		"fence", fence, "sequence", sequence, "status", int(status))
-	if status != port.VersionOrderUnknown {
-		state.unanswered.answered(sequence)
-	}
-	switch status {
-	case port.VersionOrderAccepted:
-		state.answered = true
-	case port.VersionOrderHeld:
-		one.endpoint.LearnVersion(one.model, one.version)
-	case port.VersionOrderUnknown:
-		state.notAt = now.Add(lookEvery)
-	case port.VersionOrderConflict, port.VersionOrderFenced, port.VersionOrderRefused:
-		if status == port.VersionOrderFenced {
-			r.options.Lease.Fenced(fence)
-		}
-		state.ordered = false
-		state.notAt = now.Add(failPause)
-		one.endpoint.SetLoading(one.model, time.Time{})
-	}
-}
