--- a/internal/process/cluster/lapse.go
+++ b/internal/process/cluster/lapse.go
@@ -57,12 +57,12 @@
 // removeGone drops a replica whose record was deleted, or can't be used any more: that is nothing that the
 // store's absence would explain.
 func (n *Node) removeGone(now time.Time, gone port.GoneReplica, unusable bool) {
-	if unusable {
+	switch {
+	case n.endpoints.Outlives(gone):
+	case unusable:
 		delete(n.lapses.kept, gone.ID)
-		n.noteReplica(now, n.endpoints.Gone(gone))
-		return
-	}
-	if known := n.endpoints.Find(gone.ID); known != nil && known.Revision <= gone.Revision {
+		n.noteReplica(now, n.endpoints.Remove(gone.ID))
+	default:
 		n.removeReplica(now, gone.ID)
 	}
 }
--- a/internal/process/cluster/unreadable_test.go
+++ b/internal/process/cluster/unreadable_test.go
@@ -61,3 +61,19 @@
 		t.Error("the replica did not come back with a sound record")
 	}
 }
+
+// TestRemovalOfAFormerLife: a removal that is older than the record leaves the replica, one without a revision
+// takes it out.
+func TestRemovalOfAFormerLife(t *testing.T) {
+	for _, c := range []struct {
+		revision int64
+		kept     bool
+	}{{4, true}, {6, false}, {0, false}} {
+		n := newNode()
+		n.putReplica(start, n.endpoints.Put(port.ReplicaRecord{ID: "r", Service: "s", Revision: 5}))
+		n.removeGone(start, port.GoneReplica{ID: "r", Revision: c.revision}, false)
+		if kept := n.endpoints.Find("r") != nil; kept != c.kept {
+			t.Errorf("kept %t after a removal at revision %d", kept, c.revision)
+		}
+	}
+}
--- a/internal/process/endpoint/incarnation_test.go
+++ b/internal/process/endpoint/incarnation_test.go
@@ -65,10 +65,9 @@
 func TestLateRemovals(t *testing.T) {
 	registry := NewRegistry()
 	registry.Put(entry(1000, 5, 1))
-	if registry.Gone(port.GoneReplica{ID: "r", Revision: 4}); registry.Find("r") == nil {
-		t.Error("a removal that is older than the record took the replica out")
-	}
-	if registry.Gone(port.GoneReplica{ID: "r", Revision: 6}); registry.Find("r") != nil {
-		t.Error("the removal was not heard of")
+	for revision, outlives := range map[int64]bool{4: true, 5: false, 6: false, 0: false} {
+		if got := registry.Outlives(port.GoneReplica{ID: "r", Revision: revision}); got != outlives {
+			t.Errorf("a removal at revision %d is outlived: %t", revision, got)
+		}
 	}
 }
--- a/internal/process/endpoint/registry.go
+++ b/internal/process/endpoint/registry.go
@@ -110,12 +110,10 @@
 	return !record.StartedAt.Equal(e.StartedAt) || record.Service != e.Service || record.Address != e.Address
 }
 
-// Gone drops a replica whose record is gone as of a revision, unless it has a newer one.
-func (r *Registry) Gone(gone port.GoneReplica) Change {
-	if known := r.byID[gone.ID]; known != nil && known.newerThan(gone.Revision) {
-		return Change{}
-	}
-	return r.Remove(gone.ID)
+// Outlives reports whether a listed replica has a newer record than that which is gone.
+func (r *Registry) Outlives(gone port.GoneReplica) bool {
+	known := r.byID[gone.ID]
+	return known != nil && known.newerThan(gone.Revision)
 }
 
 // Remove drops a replica that is no longer listed.
