--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -27,15 +27,15 @@
 	// the store is no further away than that.
 	answerWithin = 100 * time.Millisecond
 	// rereadPerRecord bounds what whole readings cost the store: a node reads so many records a second
-	// for them, whatever the table holds. 986 nodes that read 10,000 replicas each 8 s took 2,465 reads
-	// and some 370 MB a second; at 100 records a second it is 30 KB a second for each node.
+	// for them, whatever the table holds. 986 nodes that read 10,000 replicas each 8 s take 2,465 reads
+	// and some 370 MB a second by arithmetic; at 100 records a second it is 30 KB a second for each node.
 	rereadPerRecord = 10 * time.Millisecond
 	// largeTable is how many records a table has that one call does not read: such a one is watched on
 	// from where it stands after a call that got no answer. Nodes that lose the store lose it together,
 	// and its return would meet whole readings by all.
 	largeTable = 500
 	// relaxedRate and relaxedBurst bound the calls that bring changes to a relaxed watch, by the second: 986
-	// nodes made some 25 each, of the 16,000 reads a second that all have together. Changes come up to a
+	// nodes would make 25 each at a pause of 40 ms, of the 16,000 reads a second that all have together. Changes come up to a
 	// third of a second later then, of the seconds within which a leaving replica must be known.
 	relaxedRate  = 3
 	relaxedBurst = 1
