The owner of a new job does not hang on the order of a map

The place of an owner was read from the head that changed last, and of jobs of one millisecond the newest was any; heads that one call of the watch brings change at one moment, so the order of a map decided, also between two nodes of a deployment. Now the store's revisions tell. Ruled out: the order in which a killed node's runs are abandoned, which the simulator also took from a map; it is fixed by their IDs now, without a run that shows a difference. Test: TestOfHeadsThatChangeAtOneMomentTheNewestCounts, seen failing first.

--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -7,8 +7,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -225,11 +227,12 @@
 	}
 	n.up = false
 	n.trouble(n.world.Now)
-	for _, one := range n.runs {
-		one.abandon()
+	// What ends together ends in one order in all runs of a seed.
+	for _, id := range slices.Sorted(maps.Keys(n.runs)) {
+		n.runs[id].abandon()
 	}
-	for _, one := range n.calls {
-		one.abandon()
+	for _, id := range slices.Sorted(maps.Keys(n.calls)) {
+		n.calls[id].abandon()
 	}
 	n.world.After(down, n.start)
 }
--- a/internal/version/batch/assign.go
+++ b/internal/version/batch/assign.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// freshOwner is how lately an owner must have written a head to be given another job.
@@ -30,7 +33,13 @@
 	return ownerID{name: j.options.Self, incarnation: j.options.Incarnation}
 }
 
-// ownerOfModel returns the node that runs the model's other jobs, this one if there is none.
+// acceptedAfter reports whether a job was accepted after another.
+func (h *head) acceptedAfter(other *head) bool {
+	return cmp.Or(cmp.Compare(h.AcceptedAtMs, other.AcceptedAtMs), cmp.Compare(h.revision, other.revision)) > 0
+}
+
+// ownerOfModel returns the node that runs the newest of the model's other jobs, this one if there is none.
+// Of jobs accepted in the same millisecond the one whose head the store took last counts.
 func (j *Jobs) ownerOfModel(now time.Time, model string, regions []string) ownerID {
 	self := j.self()
 	if model == "" || !j.observing {
@@ -43,7 +52,7 @@
 			continue
 		}
 		unlisted[ownerID{known.Owner, known.OwnerIncarnation}] += known.Total - known.Listed
-		if now.Sub(known.changedAt) <= freshOwner && j.ownerWithin(known.BatchJobHead, regions) && (newest == nil || known.AcceptedAtMs > newest.AcceptedAtMs) {
+		if now.Sub(known.changedAt) <= freshOwner && j.ownerWithin(known.BatchJobHead, regions) && (newest == nil || known.acceptedAfter(newest)) {
 			newest = known
 		}
 	}
--- a/internal/version/batch/preference.go
+++ b/internal/version/batch/preference.go
@@ -30,7 +30,9 @@
 	return &doorstepv1.OwnerPlace{Zone: j.options.Topology.Zone, StoreLatencyMs: int32(j.distance().Milliseconds())}
 }
 
-// placeOf returns the place of an owner as its newest head tells it, nil if none does.
+// placeOf returns the place of an owner as its newest head tells it, nil if none does. The store's
+// revisions tell which one is newer: heads that one watch brings change at one moment here, and nodes
+// that went by it gave jobs to different owners.
 func (j *Jobs) placeOf(owner ownerID) *doorstepv1.OwnerPlace {
 	if owner == j.self() {
 		return j.place()
@@ -38,7 +40,7 @@
 	var newest *head
 	for _, known := range j.heads {
 		if known.Owner == owner.name && known.OwnerIncarnation == owner.incarnation && known.OwnerPlace != nil &&
-			(newest == nil || known.changedAt.After(newest.changedAt)) {
+			(newest == nil || known.revision > newest.revision) {
 			newest = known
 		}
 	}
--- a/internal/version/batch/preference_test.go
+++ b/internal/version/batch/preference_test.go
@@ -211,3 +211,23 @@
 		t.Errorf("%d beats in ten seconds", len(writtenAt))
 	}
 }
+
+// TestOfHeadsThatChangeAtOneMomentTheNewestCounts: one call of a watch may bring several heads of an owner,
+// whose calls to the store took different times when it wrote them, and jobs of one millisecond.
+func TestOfHeadsThatChangeAtOneMomentTheNewestCounts(t *testing.T) {
+	head := func(owner string, latency int32) *doorstepv1.BatchJobHead {
+		return &doorstepv1.BatchJobHead{Model: "m", Owner: owner, OwnerIncarnation: 7, AcceptedAtMs: 1, Total: 5,
+			OwnerPlace: &doorstepv1.OwnerPlace{Zone: "far-1", StoreLatencyMs: latency}}
+	}
+	for range 50 {
+		b := newBench("a", newStore())
+		b.jobs.options.Topology = twoRegions("far-2")
+		b.latency = 4 * time.Millisecond
+		b.jobs.setHead(b.now, "p", head("b", 40), 1)
+		b.jobs.setHead(b.now, "q", head("c", 400), 2)
+		b.jobs.setHead(b.now, "r", head("c", 40), 3)
+		if got := b.jobs.assign(b.now, "m", nil); got.name != "c" {
+			t.Fatalf("given to %s: c's job is the newest of one millisecond, and its newest head tells that it is near", got.name)
+		}
+	}
+}
