Nodes follow the list of replicas while they have use for it

Cause: every node read the list of replicas whole and followed every change of it, whether it sent to replicas or not. It grows with machines times replicas. Change: the watch of a large list (more than one call reads) rests while its node has no use for it. A node that serves a caller reads some replicas of its service first, from its own place in the list on, and follows changes until two seconds behind its last request; owners of jobs and holders of leases that decide over replicas read all, and place, order and scale nothing before they know all. Smaller lists are followed as before. Ruled out: a digest of the list written by one holder (late, dead or wrong holders break the bound on leaving replicas, and changes would still go to all nodes); a subset dealt by number of nodes.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -105,6 +105,8 @@
 	// changes of jobs.
 	runs    map[uint64]context.CancelFunc
 	waiters map[string]chan struct{}
+	// replicasKnown is closed once replicas were read, nil while no request waits for that.
+	replicasKnown chan struct{}
 }
 
 // Options configure an Agent.
@@ -287,6 +289,11 @@
 			close(waiter)
 			delete(a.waiters, t.Job)
 		}
+	case task.ReplicasKnown:
+		if a.replicasKnown != nil {
+			close(a.replicasKnown)
+			a.replicasKnown = nil
+		}
 	case task.Forget:
 		a.upstream.Forget(t.Address)
 	case task.Log:
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -17,6 +17,7 @@
 		return
 	}
 	leaving := x.request.Context()
+	defer x.agent.useReplicas(leaving, x.route)()
 	ctx, cancel := context.WithDeadline(leaving, x.relay.Deadline())
 	defer cancel()
 	var last *attempt
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -40,6 +40,7 @@
 	s := &relayedStream{exchange: x, writer: w, control: http.NewResponseController(w)}
 	s.last, _ = strconv.ParseInt(a.protocol.LastEvent(x.request.Header), 10, 64)
 	leaving := x.request.Context()
+	defer a.useReplicas(leaving, x.route)()
 	ctx, cancel := context.WithDeadline(leaving, s.relay.Deadline())
 	defer cancel()
 	for {
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -65,6 +65,9 @@
 	WallAhead func() time.Duration
 	// Duties are the calls to the platform that one node at a time makes.
 	Duties Duties
+	// LargeList is from how many replicas on the list of them is not followed without use for it,
+	// recordwatch.LargeTable if it is 0.
+	LargeList int
 }
 
 // Node is one node; all calls come from one loop.
@@ -88,6 +91,9 @@
 	rollout *rollout.Rollout
 	needs   modelNeeds
 	watches []*recordwatch.Watch
+	// replicas is the watch of the list of replicas, replicaUse what this node uses the list for.
+	replicas   *recordwatch.Watch
+	replicaUse replicaUse
 	// shared is the watch of the shared table, the last of the watches; readers counts the callers that
 	// wait for a change of it.
 	shared    *recordwatch.Watch
@@ -202,7 +208,9 @@
 	n.tickLapses(now)
 	n.tickCold(now)
 	n.lease.Tick(now)
-	n.rollout.Tick(now)
+	if n.listsAll() || !n.lease.Held(now) {
+		n.rollout.Tick(now)
+	}
 	n.jobs.Tick(now)
 	n.quarantine.Tick(now)
 	if n.lease.Held(now) {
--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -105,7 +105,7 @@
 
 // collectCold deletes the windows of replicas that are gone.
 func (n *Node) collectCold(now time.Time) {
-	if n.DiscoveryAge(now) < unconfirmedAfter {
+	if n.listsAll() && n.DiscoveryAge(now) < unconfirmedAfter {
 		n.cold.gate.Collect(now, func(id string) bool { return n.endpoints.Find(id) != nil })
 	}
 }
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -105,7 +105,7 @@
 	d := &scalingDuty{lease: n.newLease(scalingLeaseKey, recordlease.Unhurried, n.options.Duties.Fenced)}
 	d.scaler = scaling.New(scaling.Options{
 		Self: n.options.Name, Queue: n.queue, Lease: d.lease, Services: n.scaledServices,
-		ListedSince: func() time.Time { return n.lapses.listedSince },
+		ListedSince: n.listedSince,
 	})
 	return d
 }
--- a/internal/process/cluster/homes.go
+++ b/internal/process/cluster/homes.go
@@ -20,10 +20,11 @@
 
 // Served reports whether a replica of a route's services is listed in the homes of a request. Without
 // one the request can't be served until the configuration or the fleet changes; a replica that is
-// busy, leaves or failed lately may serve it soon. Without a route there is nothing to say.
+// busy, leaves or failed lately may serve it soon. Without a route, or while not all replicas are known, there is
+// nothing to say.
 func (n *Node) Served(route *port.Route, tenant string) bool {
 	homes := n.Homes(route, tenant)
-	if !homes.Bound || route == nil {
+	if !homes.Bound || route == nil || !n.listsAll() {
 		return true
 	}
 	for _, backend := range route.Backends {
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -20,8 +20,11 @@
 	scoringRoom = 0.7
 )
 
-// place chooses an endpoint for an item of a batch job.
+// place chooses an endpoint for an item of a batch job, once all replicas are known.
 func (n *Node) place(now time.Time, wanted batch.Placement) *endpoint.Endpoint {
+	if !n.listsAll() {
+		return nil
+	}
 	query := n.query(now, wanted.Route, wanted.Tenant)
 	query.Model, query.MinVersion = wanted.Model, wanted.MinVersion
 	query.Origin = wanted.Model
@@ -87,12 +90,17 @@
 	query := n.query(now, route, tenant)
 	query.Exclude = exclude
 	query.Model = model
-	return n.pick(&endpoint.Requests, query, route)
+	chosen := n.pick(&endpoint.Requests, query, route)
+	n.wantMore(now, chosen)
+	return chosen
 }
 
 // placeScoring chooses an endpoint for the scoring call of an item of a tenant's that has been to
 // those excluded.
 func (n *Node) placeScoring(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint {
+	if !n.listsAll() {
+		return nil
+	}
 	query := n.query(now, route, tenant)
 	query.Exclude = exclude
 	query.Room = scoringRoom
--- /dev/null
+++ b/internal/process/cluster/replicalist_test.go
@@ -0,0 +1,279 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/recordwatch"
+	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/standin/model"
+)
+
+// listDecoder reads the records of a deployment as JSON.
+type listDecoder struct{}
+
+func (listDecoder) DeploymentTables() []string { return []string{"operator", "replicas"} }
+
+func (listDecoder) LengthHint(http.Header) int { return 0 }
+
+func (listDecoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
+
+func (listDecoder) DecodeDeployment(records []port.Record) port.Deployment {
+	var change port.Deployment
+	for _, record := range records {
+		var one port.ReplicaRecord
+		switch {
+		case record.Table == "operator":
+			change.Routes = &port.RouteTable{Version: 1}
+		case record.Deleted:
+			change.Gone = append(change.Gone, port.GoneReplica{ID: record.Key, Revision: record.Revision})
+		case json.Unmarshal(record.Value, &one) == nil:
+			one.Revision = record.Revision
+			change.Replicas = append(change.Replicas, one)
+		}
+	}
+	return change
+}
+
+// largeDeployment is one node before a store whose list holds many replicas, one in twenty of which
+// serves callers.
+type largeDeployment struct {
+	t     *testing.T
+	now   time.Time
+	store *model.Records
+	node  *Node
+	// away is set while the store gives no answers; read counts the records of the list that were read.
+	away bool
+	read int
+	// held are calls that wait for changes, known counts the readings that requests were told of.
+	held  []heldWatch
+	known int
+}
+
+type heldWatch struct {
+	task.Watch
+	until time.Time
+}
+
+var callersRoute = &port.Route{Name: "r", Kind: port.RouteIdempotent, Backends: []port.Backend{{Service: "callers", Weight: 1}}}
+
+func newLargeDeployment(t *testing.T, replicas int) *largeDeployment {
+	d := &largeDeployment{t: t, now: start, store: model.NewRecords(start, model.RecordsOptions{History: time.Minute})}
+	d.put("operator", "config", port.ReplicaRecord{})
+	for i := range replicas {
+		d.list(i, false)
+	}
+	d.node = New(start, Options{Name: "n", Topology: port.Topology{Zone: "z"}, Incarnation: 1, Decoder: listDecoder{}, OrderPause: time.Second})
+	return d
+}
+
+func (d *largeDeployment) list(number int, draining bool) {
+	one := port.ReplicaRecord{ID: fmt.Sprintf("%05d", number*7919%100_000), Service: "model", Address: fmt.Sprint(number), Slots: 4, Draining: draining}
+	if number%20 == 0 {
+		one.Service = "callers"
+	}
+	d.put("replicas", one.ID, one)
+}
+
+func (d *largeDeployment) put(table, key string, value port.ReplicaRecord) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	result := d.store.Commit(d.now, port.RecordTransaction{Puts: []port.Record{{RecordKey: port.RecordKey{Table: table, Key: key}, Value: content}}})
+	if result.Status != port.RecordDone {
+		d.t.Fatalf("the store does not take %s", key)
+	}
+}
+
+// run lets the node tick for a time.
+func (d *largeDeployment) run(length time.Duration) {
+	for end := d.now.Add(length); d.now.Before(end); d.now = d.now.Add(25 * time.Millisecond) {
+		d.node.Tick(d.now)
+		d.settle()
+	}
+}
+
+// settle answers the node's calls, those that wait for changes once there are some.
+func (d *largeDeployment) settle() {
+	held := d.held
+	d.held = nil
+	for _, one := range held {
+		d.watch(one)
+	}
+	for tasks := d.node.Take(); len(tasks) > 0; tasks = d.node.Take() {
+		for _, one := range tasks {
+			d.carryOut(one)
+		}
+	}
+}
+
+func (d *largeDeployment) carryOut(one task.Task) {
+	switch t := one.(type) {
+	case task.Range:
+		t.Done(d.now, d.answer(t.Query.Table, d.store.Range(d.now, t.Query)))
+	case task.Watch:
+		d.watch(heldWatch{t, d.now.Add(t.Wait)})
+	case task.Commit:
+		// The leases are others'.
+		t.Done(d.now, port.RecordResult{Status: port.RecordRefused})
+	case task.ReplicasKnown:
+		d.known++
+	}
+}
+
+// watch answers a call that waits for changes.
+func (d *largeDeployment) watch(one heldWatch) {
+	result, _ := d.store.Changes(d.now, one.Table, one.After)
+	if len(result.Records) == 0 && d.now.Before(one.until) && !d.away {
+		d.held = append(d.held, one)
+		return
+	}
+	one.Done(d.now, d.answer(one.Table, result))
+}
+
+// answer counts what a call brought of the list.
+func (d *largeDeployment) answer(table string, result port.RecordResult) port.RecordResult {
+	if d.away {
+		return port.RecordResult{Status: port.RecordUnknown}
+	}
+	if table == "replicas" {
+		d.read += len(result.Records)
+	}
+	return result
+}
+
+// serve lets the node choose a replica for a caller's request.
+func (d *largeDeployment) serve() string {
+	d.t.Helper()
+	d.node.BeginRequest(d.now, callersRoute)
+	d.settle()
+	defer d.node.EndRequest(d.now)
+	if d.node.ReplicasAwaited() {
+		d.t.Fatal("replicas are still awaited")
+	}
+	chosen := d.node.Choose(d.now, callersRoute, "", "", nil)
+	if chosen == nil {
+		return ""
+	}
+	return chosen.ID
+}
+
+// TestANodeThatServesNobodyFollowsNoReplicas: what a node costs the store goes by its requests, at 1,000 and
+// at 10,000 replicas. When each node followed the list it read all replicas and all changes.
+func TestANodeThatServesNobodyFollowsNoReplicas(t *testing.T) {
+	for _, replicas := range []int{1_000, 10_000} {
+		d := newLargeDeployment(t, replicas)
+		d.run(time.Second)
+		if d.read != recordwatch.LargeTable {
+			t.Errorf("%d replicas: %d records were read at the start, should be those of one call", replicas, d.read)
+		}
+		d.read = 0
+		for number := range 200 {
+			d.list(number, number%2 == 0)
+			d.run(50 * time.Millisecond)
+		}
+		if d.read != 0 || !d.node.Ready(d.now) {
+			t.Errorf("%d replicas: a node that serves nobody read %d records; ready %t", replicas, d.read, d.node.Ready(d.now))
+		}
+		if d.serve() == "" {
+			t.Errorf("%d replicas: no replica for a request", replicas)
+		}
+		if known := d.node.endpoints.Len(); d.read > 2*recordwatch.LargeTable || known != d.read {
+			t.Errorf("%d replicas: %d records were read for a request, %d replicas are known", replicas, d.read, known)
+		}
+	}
+}
+
+// TestARestedNodeSendsToNoReplicaThatLeft: what changed while a node followed nothing is known before it
+// sends.
+func TestARestedNodeSendsToNoReplicaThatLeft(t *testing.T) {
+	const replicas = 2_000
+	d := newLargeDeployment(t, replicas)
+	first := d.serve()
+	for range 20 {
+		d.run(10 * time.Second)
+		for number := range replicas {
+			if e := d.node.endpoints.Find(fmt.Sprintf("%05d", number*7919%100_000)); e != nil && e.Service == "callers" {
+				d.list(number, true)
+			}
+		}
+		chosen := d.serve()
+		if chosen == "" {
+			return
+		}
+		var draining []string
+		for _, record := range d.store.Range(d.now, port.RecordRange{Table: "replicas", From: chosen, Limit: 1}).Records {
+			if change := (listDecoder{}).DecodeDeployment([]port.Record{record}); change.Replicas[0].Draining {
+				draining = append(draining, record.Key)
+			}
+		}
+		if slices.Contains(draining, chosen) {
+			t.Fatalf("a request goes to %s, which left; the first one went to %s", chosen, first)
+		}
+	}
+	t.Error("all of the callers' replicas were made to leave, and one was found")
+}
+
+// TestRestedNodesFindTheirReplicasAgain: a node goes to the replicas that it knew, to which connections may
+// be open, and to others than its neighbour.
+func TestRestedNodesFindTheirReplicasAgain(t *testing.T) {
+	d := newLargeDeployment(t, 5_000)
+	d.run(time.Second)
+	d.serve()
+	origin := d.node.listOrigin()
+	for range 5 {
+		d.run(10 * time.Second)
+		if d.node.Ready(d.now); d.node.replicas.Follows(recordwatch.Part) {
+			t.Fatal("the list is followed ten seconds behind a request")
+		}
+		d.serve()
+		if got := d.node.listOrigin(); got != origin {
+			t.Fatalf("replicas are read from %s on, were from %s", got, origin)
+		}
+	}
+}
+
+// TestAStoreThatIsAwayHoldsNoRequest: requests go to replicas that were known before.
+func TestAStoreThatIsAwayHoldsNoRequest(t *testing.T) {
+	d := newLargeDeployment(t, 2_000)
+	d.run(time.Second)
+	d.serve()
+	d.run(10 * time.Second)
+	d.away = true
+	d.run(2 * time.Second)
+	if d.node.BeginRequest(d.now, callersRoute) {
+		t.Error("a request waits for a store that is known to be away")
+	}
+	if d.node.Choose(d.now, callersRoute, "", "", nil) == nil {
+		t.Error("no replica while the store is away")
+	}
+	d.node.EndRequest(d.now)
+	d.away = false
+	d.run(10 * time.Second)
+	if d.serve() == "" {
+		t.Error("no replica behind the store's return")
+	}
+}
+
+// TestRequestsThatFindNoFreeSlotReadOn: a part of the list is enough while its replicas are.
+func TestRequestsThatFindNoFreeSlotReadOn(t *testing.T) {
+	d := newLargeDeployment(t, 2_000)
+	d.run(time.Second)
+	d.serve()
+	for _, e := range d.node.endpoints.Service(callersRoute.Backends[0].Service) {
+		e.InFlight = e.Slots
+	}
+	if d.serve() == "" {
+		t.Fatal("no replica")
+	}
+	d.run(time.Second)
+	if !d.node.listsAll() || d.node.endpoints.Len() != 2_000 {
+		t.Errorf("%d of 2000 replicas are known while all known ones are full", d.node.endpoints.Len())
+	}
+}
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -41,16 +41,18 @@
 			Wait: configurationWait, Reread: configurationReread,
 			OnList:   func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, true) },
 			OnChange: func(now time.Time, records []port.Record) { n.onDeployment(now, table, records, false) },
-			OnHealth: func(time.Time, bool) {},
+			OnHealth: n.onStoreHealth,
 		}
 		if n.listsReplicas(table) {
 			options.Wait, options.Reread = usualWait, replicaReread
 			options.Gather, options.MostGather = replicaGather, mostReplicaGather
 			options.OnHealth = n.onReplicaHealth
 			options.Relaxed = n.relaxed
+			options.Partial = n.partialList(table)
 		}
 		n.watches = append(n.watches, recordwatch.New(options))
 	}
+	n.replicas = n.watches[len(n.watches)-1]
 	partitions := []string{configuration.Partition, LeasePartition, quarantine.Partition}
 	for number := range batch.Partitions {
 		partitions = append(partitions, batch.PartitionName(number))
@@ -119,15 +121,13 @@
 	for _, target := range change.Targets {
 		n.rollout.Name(target)
 	}
-	listed := make(map[string]bool, len(change.Replicas))
-	n.silentAdds = whole && len(change.Replicas) > mostAddedLines
-	for _, record := range change.Replicas {
-		listed[record.ID] = true
-		n.putReplica(now, n.endpoints.Put(record))
+	silent := whole && len(change.Replicas) > mostAddedLines
+	listed := n.putReplicas(now, change.Replicas, silent)
+	if silent {
+		n.tellListed(len(change.Replicas))
 	}
-	if n.silentAdds {
-		n.queue.Log(event.ReplicasListed, "replicas", len(change.Replicas))
-		n.silentAdds = false
+	if whole && n.listsReplicas(table) {
+		n.queue.Add(task.ReplicasKnown{})
 	}
 	for _, gone := range change.Gone {
 		n.removeGone(now, gone, unreadable(change.Unreadable, gone.ID))
--- a/internal/process/endpoint/pool.go
+++ b/internal/process/endpoint/pool.go
@@ -42,6 +42,19 @@
 	return p.byID
 }
 
+// First returns the endpoint that gets work and stands first behind a name's place on the ring, nil if
+// there is none.
+func (p *Pool) First(name string) *Endpoint {
+	var first *Endpoint
+	p.all.walk(positionOf(name), func(e *Endpoint) bool {
+		if !e.Leaving() {
+			first = e
+		}
+		return first == nil
+	})
+	return first
+}
+
 func compareByID(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) }
 
 func (p *Pool) add(e *Endpoint) {
--- a/internal/process/endpoint/registry.go
+++ b/internal/process/endpoint/registry.go
@@ -87,15 +87,20 @@
 
 func (r *Registry) add(record port.ReplicaRecord) Change {
 	fresh := &Endpoint{ReplicaRecord: record}
-	r.byID[record.ID] = fresh
-	r.byAddress[record.Address] = fresh
-	pool := r.byService[record.Service]
+	r.enter(fresh)
+	return Change{Endpoint: fresh, Added: true, Leaving: record.Draining}
+}
+
+// enter lists an endpoint under its ID, its address and its service.
+func (r *Registry) enter(e *Endpoint) {
+	r.byID[e.ID] = e
+	r.byAddress[e.Address] = e
+	pool := r.byService[e.Service]
 	if pool == nil {
 		pool = newPool()
-		r.byService[record.Service] = pool
+		r.byService[e.Service] = pool
 	}
-	pool.add(fresh)
-	return Change{Endpoint: fresh, Added: true, Leaving: record.Draining}
+	pool.add(e)
 }
 
 // newerThan reports whether the endpoint is known by a newer record than that of a revision; 0 tells
@@ -130,3 +135,21 @@
 	known.pool.remove(known)
 	return Change{Endpoint: known, Removed: true}
 }
+
+// Retain drops all endpoints but those named and returns the dropped ones. Nothing is known of them any
+// more; requests that they have go on. The pools are made anew, as dropping thousands one by one takes
+// a time that grows with their number squared.
+func (r *Registry) Retain(ids map[string]bool) []*Endpoint {
+	var dropped []*Endpoint
+	kept := NewRegistry()
+	for _, e := range r.All() {
+		if !ids[e.ID] {
+			e.pool = nil
+			dropped = append(dropped, e)
+			continue
+		}
+		kept.enter(e)
+	}
+	*r = *kept
+	return dropped
+}
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -60,6 +60,7 @@
 	RecordUnreadable    = 803
 	StoreDistance       = 805
 	NodesCounted        = 806
+	WatchRests          = 807
 	JobAccepted         = 900
 	JobRefused          = 901
 	JobTaken            = 902
@@ -119,7 +120,7 @@
 	{QuarantineTrial, Warn, "quarantined request on trial", "This node sends a quarantined request to one replica, to see whether it still crashes those that run it."},
 	{QuarantineLifted, Info, "quarantine lifted", "A replica answered a quarantined request, or its records were collected; it is sent to replicas again."},
 	{ReplicaLeaving, Info, "replica leaving", "A replica gets no new work."},
-	{ReplicasListed, Info, "replicas listed", "The list was read whole and holds so many replicas, too many for a line each."},
+	{ReplicasListed, Info, "replicas listed", "The list was read whole, or a part of it, and brought so many replicas, too many for a line each; known says how many this node knows now."},
 	{ReplicaAdded, Info, "replica added", "A replica stands in the list and gets work."},
 	{ReplicaRemoved, Info, "replica removed", "A replica left the list."},
 	{ReplicaEjected, Warn, "replica ejected", "A replica failed repeatedly and gets no work for a while."},
@@ -142,6 +143,7 @@
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is passed over."},
 	{StoreDistance, Info, "record store's distance", "What this node holds calls to the record store to take has doubled or halved since it last said so, from 50 ms on."},
 	{NodesCounted, Info, "nodes counted", "So many nodes told of themselves of late, by the holder of the order lease; those that would take something over spread by it."},
+	{WatchRests, Info, "watch rests", "This node has no use for a large table at present: it follows no changes, and reads it again before it uses it."},
 	{JobAccepted, Info, "batch job accepted", "The job stands in the record store; its client was told so."},
 	{JobRefused, Warn, "batch job refused", "The job was not accepted; outcome tells whether it may stand in the store all the same."},
 	{JobTaken, Info, "batch job taken over", "This node runs the job's items from now on; its former owner fell silent or handed it over."},
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -30,10 +30,10 @@
 	// for them, whatever the table holds. 986 nodes that read 10,000 replicas each 8 s take 2,465 reads
 	// and some 370 MB a second by arithmetic; at 100 records a second it is 30 KB a second for each node.
 	rereadPerRecord = 10 * time.Millisecond
-	// largeTable is how many records a table has that one call does not read: such a one is watched on
+	// LargeTable is how many records a table has that one call does not read: such a one is watched on
 	// from where it stands after a call that got no answer. Nodes that lose the store lose it together,
 	// and its return would meet whole readings by all.
-	largeTable = 500
+	LargeTable = 500
 	// relaxedRate and relaxedBurst bound the calls that bring changes to a relaxed watch, by the second: 986
 	// nodes would make 25 each at a pause of 40 ms, of the 16,000 reads a second that all have together. Changes come up to a
 	// third of a second later then, of the seconds within which a leaving replica must be known.
@@ -58,6 +58,8 @@
 	// Relaxed, unless nil, reports whether this node has no use for changes within moments: calls that
 	// bring some are then spaced.
 	Relaxed func(now time.Time) bool
+	// Partial, unless nil, lets the watch know less than the whole table.
+	Partial *Partial
 	// Jitter, from 0 to 1, spreads the nodes' calls: those that follow a refusal, and with a Distance also
 	// those that follow a failure.
 	Jitter float64
@@ -80,16 +82,30 @@
 	// of a call until one is answered.
 	gather   time.Duration
 	refusing bool
-	// watching is set while a call of the watch is under way that was sent at sentAt.
-	watching bool
-	sentAt   time.Time
-	// listing is the partition being read, or the number of partitions once all are.
+	// watching is set while a call of the watch is under way that was sent at sentAt, the last of
+	// watchCalls; answers to earlier ones are passed over.
+	watching   bool
+	sentAt     time.Time
+	watchCalls uint64
+	// listing is the partition being read, or the number of partitions once all are; target is how much
+	// of the table the reading is for, which began at the key start, first is set until its first answer,
+	// and wrapped once it went round by the end of the table.
 	listing  int
+	target   Extent
+	start    string
+	first    bool
+	wrapped  bool
 	from     string
 	records  []port.Record
 	after    int64
 	listedAt time.Time
 	everRead bool
+	// known is how much of the table the last reading brought, current whether its changes are followed
+	// since, wholeSince since when the whole table's are. failing is set while the store gives no answers.
+	known      Extent
+	current    bool
+	wholeSince time.Time
+	failing    bool
 	// size is how many records the last whole reading brought.
 	size     int
 	relaxed  *rate.Limiter
@@ -100,7 +116,12 @@
 // New returns a watch that has read nothing.
 func New(options Options) *Watch {
 	options.MostGather = max(options.MostGather, options.Gather)
-	return &Watch{options: options, pause: firstPause, gather: options.Gather, relaxed: rate.NewLimiter(relaxedRate, relaxedBurst)}
+	w := &Watch{options: options, pause: firstPause, gather: options.Gather, relaxed: rate.NewLimiter(relaxedRate, relaxedBurst)}
+	w.begin(Whole)
+	if options.Partial != nil {
+		w.begin(Part)
+	}
+	return w
 }
 
 // Read reports whether the table was read whole at least once.
@@ -114,7 +135,8 @@
 
 // Tick makes the next call when it is due.
 func (w *Watch) Tick(now time.Time) {
-	if w.busy || now.Before(w.nextAt) {
+	w.cutShort(now)
+	if w.busy || now.Before(w.nextAt) || w.adjust(now) {
 		return
 	}
 	w.busy = true
@@ -123,7 +145,13 @@
 		return
 	}
 	w.watching, w.sentAt = true, now
-	w.options.Queue.Add(task.Watch{Table: w.options.Table, After: w.after, Wait: w.options.Wait, Done: w.onChanges})
+	w.watchCalls++
+	number := w.watchCalls
+	w.options.Queue.Add(task.Watch{Table: w.options.Table, After: w.after, Wait: w.options.Wait, Done: func(now time.Time, result port.RecordResult) {
+		if number == w.watchCalls {
+			w.onChanges(now, result)
+		}
+	}})
 }
 
 // ObservedUntil returns the time up to which changes would have been heard of: until now
@@ -152,10 +180,7 @@
 }
 
 func (w *Watch) list() {
-	w.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: w.options.Table, Partition: w.options.Partitions[w.listing], From: w.from},
-		Done:  w.onRange,
-	})
+	w.options.Queue.Add(task.Range{Query: w.query(), Done: w.onRange})
 }
 
 func (w *Watch) onRange(now time.Time, result port.RecordResult) {
@@ -168,14 +193,13 @@
 		w.failed(now, result.Status)
 		return
 	}
-	w.answerAt = now
-	if w.listing == 0 && w.from == "" {
+	w.answerAt, w.failing = now, false
+	if w.first {
 		// Changes made while the rest is read are watched from here.
-		w.after = result.Revision
+		w.after, w.first = result.Revision, false
 	}
 	w.records = append(w.records, result.Records...)
-	if result.More && len(result.Records) > 0 {
-		w.from = result.Records[len(result.Records)-1].Key + "\x00"
+	if w.readOn(result) {
 		w.Tick(now)
 		return
 	}
@@ -193,7 +217,15 @@
 	w.listedAt = now
 	w.size = len(records)
 	w.everRead = true
-	w.options.OnList(now, records)
+	if w.target == Whole && !w.Follows(Whole) {
+		w.wholeSince = now
+	}
+	w.known, w.current = w.target, true
+	if w.known == Part {
+		w.options.Partial.OnPart(now, records)
+	} else {
+		w.options.OnList(now, records)
+	}
 	w.setHealthy(now, true)
 }
 
@@ -229,6 +261,7 @@
 	}
 	if w.healthy && now.Sub(w.answerAt) > refusedFor {
 		w.options.Queue.Log(event.StoreLost, "table", w.options.Table, "status", int(port.RecordRefused), "revision", w.after)
+		w.failing = true
 		w.setHealthy(now, false)
 	}
 }
@@ -251,7 +284,7 @@
 		w.failed(now, result.Status)
 		return
 	}
-	w.answerAt = now
+	w.answerAt, w.failing = now, false
 	w.setHealthy(now, true)
 	w.after = max(w.after, result.Revision)
 	if len(result.Records) > 0 {
@@ -260,7 +293,7 @@
 	}
 	w.next(now)
 	if w.options.Reread > 0 && now.Sub(w.listedAt) >= w.rereadAfter() {
-		w.listing = 0
+		w.begin(w.known)
 	}
 	w.Tick(now)
 }
@@ -293,11 +326,10 @@
 // follows at once.
 func (w *Watch) failed(now time.Time, status port.RecordStatus) {
 	watched := w.listing == len(w.options.Partitions)
-	if status == port.RecordCompacted || !watched || w.size < largeTable {
-		w.listing = 0
+	if status == port.RecordCompacted || !watched || w.size < LargeTable {
+		w.begin(w.target)
 	}
-	w.from = ""
-	w.records = nil
+	w.failing = status != port.RecordCompacted
 	if status == port.RecordCompacted {
 		w.nextAt = now
 		w.Tick(now)
--- a/internal/process/recordwatch/recordwatch_test.go
+++ b/internal/process/recordwatch/recordwatch_test.go
@@ -256,7 +256,7 @@
 		size   int
 		status port.RecordStatus
 		whole  bool
-	}{{largeTable - 1, port.RecordUnknown, true}, {largeTable, port.RecordUnknown, false}, {largeTable, port.RecordCompacted, true}} {
+	}{{LargeTable - 1, port.RecordUnknown, true}, {LargeTable, port.RecordUnknown, false}, {LargeTable, port.RecordCompacted, true}} {
 		now, queue := time.Unix(1000, 0), &task.Queue{}
 		w := largeWatch(queue, nil)
 		w.Tick(now)
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -165,6 +165,11 @@
 // Wake tells those who wait for a batch job that it changed.
 type Wake struct{ Job string }
 
+// ReplicasKnown tells requests that wait for replicas to be read that some were.
+type ReplicasKnown struct{}
+
+func (ReplicasKnown) isTask() {}
+
 // Log writes a numbered event; fields alternate names and values.
 type Log struct {
 	Event  int
--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -104,3 +104,18 @@
 		})
 	}
 }
+
+// TestNodesThatRest: where nodes follow the list of replicas only while they own jobs or hold a lease, all
+// holds as well; those that rest make fewer calls.
+func TestNodesThatRest(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			got := New(Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: Faults, Resting: true}).Run()
+			report(t, seed, got)
+			if got.Accepted == 0 || got.Results == 0 {
+				t.Errorf("seed %d: %d jobs accepted, %d results", seed, got.Accepted, got.Results)
+			}
+		})
+	}
+}
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -46,10 +46,22 @@
 	// FarRegion is how much longer than within a region a message between the two regions is under
 	// way; the record store stands in one of them.
 	FarRegion time.Duration
+	// Resting lets nodes follow the list of replicas only while they have use for it, as in a large
+	// deployment.
+	Resting bool
 	// Log, unless nil, takes what nodes log, by the record store's clock.
 	Log func(node string, clock time.Duration, number int, fields []any)
 }
 
+// largeList returns from how many replicas on nodes take the list for a large one, 0 for the product's own
+// figure.
+func (o *Options) largeList() int {
+	if o.Resting {
+		return 1
+	}
+	return 0
+}
+
 // World is one installation.
 type World struct {
 	virtual.Clock
@@ -207,6 +219,7 @@
 	n.node = cluster.New(n.world.Now, cluster.Options{
 		Name: n.name, Topology: topologyAt(n.zone), Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
 		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(), Cold: coldSettings,
+		LargeList: n.world.options.largeList(),
 	})
 	n.world.Every(tickEvery, func() bool {
 		if n.life != life || !n.up {
@@ -322,7 +335,7 @@
 		if w.options.Log != nil {
 			w.options.Log(n.name, w.Now.Sub(epoch), t.Event, t.Fields)
 		}
-	case task.Wake, task.Forget:
+	case task.Wake, task.Forget, task.ReplicasKnown:
 	}
 }
 
