Soak: every second node follows the list of replicas only while it has use for it

store.large_list sets from how many replicas on that is so; the soak sets it to 1 for half of its nodes, so that the real programs wake and rest under its faults.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -80,6 +80,9 @@
 // Store says where the record store is.
 type Store struct {
 	Address string `koanf:"address" validate:"required,hostname_port"`
+	// LargeList is from how many replicas on a node follows the list of them only while it has use for
+	// it; 0 is the number that one call reads.
+	LargeList int `koanf:"large_list" validate:"min=0,max=1000000"`
 }
 
 // Orders bound the orders to replicas.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -252,6 +252,10 @@
 	return nil
 }
 
+// largeListOf lets every second node follow the list of replicas only while it has use for it, as nodes of
+// a large deployment do.
+func largeListOf(number int) int { return number % 2 }
+
 func (s *Soak) addNode(name string) error {
 	zone := zones[len(s.nodes)%len(zones)]
 	toStore := &Proxy{Target: s.storeAddr, Uses: func(net.Conn) side { return s.between(zone, nearZone) }}
@@ -275,12 +279,12 @@
 	settings := fmt.Sprintf(`name: %s
 zone: %s
 %slisten: {requests: %q, readiness: %q, metrics: %q}
-store: {address: %q}
+store: {address: %q, large_list: %d}
 orders: {pause_ms: 3000}
 cold: {overshoot: 1.5, slack: 5}
 duties: {address: %q, kinds: "usage_reporting", fenced: true, calls_per_s: 50, usage_window_s: 2, usage_late_s: 8}
 log: {level: info, json: true}
-`, name, zone, regionsFor(zone), addresses[0], addresses[1], addresses[2], store, s.dutiesAddr)
+`, name, zone, regionsFor(zone), addresses[0], addresses[1], addresses[2], store, largeListOf(len(s.nodes)), s.dutiesAddr)
 	if err := os.WriteFile(n.settings, []byte(settings), 0o644); err != nil {
 		return err
 	}
