--- a/internal/process/cluster/replicalist.go
+++ b/internal/process/cluster/replicalist.go
@@ -44,13 +44,16 @@
 	// from which on a service's are read.
 	services []string
 	origins  map[string]string
+	// reading is what a reading of some replicas brought so far, of so many records.
+	reading       port.Deployment
+	readingLength int
 }
 
 // partialList lets the watch of the list of replicas know what this node has use for.
 func (n *Node) partialList(table string) *recordwatch.Partial {
 	return &recordwatch.Partial{
 		Large: n.options.largeList(), Extent: n.replicaExtent, Known: n.endpoints.Len, Begin: n.listOrigin, Enough: n.enoughListed,
-		OnPart: func(now time.Time, records []port.Record) { n.onSomeReplicas(now, table, records) },
+		OnPart: func(now time.Time) { n.onSomeReplicas(now, table) },
 	}
 }
 
@@ -140,6 +143,7 @@
 // connections may be open. Nodes begin at different ones.
 func (n *Node) listOrigin() string {
 	use := &n.replicaUse
+	use.reading, use.readingLength = port.Deployment{}, 0
 	if len(use.services) == 0 {
 		return ""
 	}
@@ -162,15 +166,21 @@
 	return first.ID
 }
 
-// enoughListed reports whether the records are enough to serve the requests of late.
+// enoughListed reports whether the records of a reading are enough to serve the requests of late. Each is
+// decoded once: that is most of what the first request behind a rest waits for on a slow machine.
 func (n *Node) enoughListed(records []port.Record) bool {
+	use := &n.replicaUse
+	more := n.options.Decoder.DecodeDeployment(records[use.readingLength:])
+	use.readingLength = len(records)
+	use.reading.Replicas = append(use.reading.Replicas, more.Replicas...)
+	use.reading.Unreadable = append(use.reading.Unreadable, more.Unreadable...)
 	counts := map[string]int{}
-	for _, one := range n.options.Decoder.DecodeDeployment(records).Replicas {
+	for _, one := range use.reading.Replicas {
 		if !one.Draining {
 			counts[one.Service]++
 		}
 	}
-	for _, service := range n.replicaUse.services {
+	for _, service := range use.services {
 		if counts[service] < enoughReplicas {
 			return false
 		}
@@ -180,8 +190,9 @@
 
 // onSomeReplicas takes a part of the list. Replicas that are not among them are dropped, as their changes
 // were not followed, but for the time after an outage in which records may be missing.
-func (n *Node) onSomeReplicas(now time.Time, table string, records []port.Record) {
-	change := n.options.Decoder.DecodeDeployment(records)
+func (n *Node) onSomeReplicas(now time.Time, table string) {
+	change := n.replicaUse.reading
+	n.replicaUse.reading = port.Deployment{}
 	n.unreadable.note(n.queue, table, change.Unreadable, false)
 	listed := n.putReplicas(now, change.Replicas, true)
 	if !n.lapses.open(now) {
--- a/internal/process/recordwatch/extent.go
+++ b/internal/process/recordwatch/extent.go
@@ -29,12 +29,13 @@
 	Extent func(now time.Time) Extent
 	// Known returns how many records are known.
 	Known func() int
-	// Begin returns the key from which a part is read, Enough whether the records that were read are one;
-	// otherwise more are read, up to the whole table.
+	// Begin returns the key from which a part is read. Enough takes all records that were read from there
+	// on, and reports whether they are one; otherwise it is given more, up to the whole table.
 	Begin  func() string
 	Enough func(records []port.Record) bool
-	// OnPart takes a part. What was known of other records is out of date.
-	OnPart func(now time.Time, records []port.Record)
+	// OnPart is told that the records that Enough took last are a part. What was known of others is out
+	// of date.
+	OnPart func(now time.Time)
 }
 
 // partRecords is how many records one call reads of a part: some 75 KB, and nine replicas of a service that
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -222,7 +222,7 @@
 	}
 	w.known, w.current = w.target, true
 	if w.known == Part {
-		w.options.Partial.OnPart(now, records)
+		w.options.Partial.OnPart(now)
 	} else {
 		w.options.OnList(now, records)
 	}
