--- a/internal/process/cluster/lapse_test.go
+++ b/internal/process/cluster/lapse_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -53,13 +52,7 @@
 }
 
 // replicaDecoder reads a record of the list of replicas by its key alone.
-type replicaDecoder struct{}
-
-func (replicaDecoder) DeploymentTables() []string { return []string{"operator", "replicas"} }
-
-func (replicaDecoder) LengthHint(http.Header) int { return 0 }
-
-func (replicaDecoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
+type replicaDecoder struct{ decoder }
 
 func (replicaDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
--- a/internal/process/cluster/replicalist_test.go
+++ b/internal/process/cluster/replicalist_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -15,13 +14,7 @@
 )
 
 // listDecoder reads the records of a deployment as JSON.
-type listDecoder struct{}
-
-func (listDecoder) DeploymentTables() []string { return []string{"operator", "replicas"} }
-
-func (listDecoder) LengthHint(http.Header) int { return 0 }
-
-func (listDecoder) Tokens(http.Header) (prompt, most int) { return 0, 0 }
+type listDecoder struct{ decoder }
 
 func (listDecoder) DecodeDeployment(records []port.Record) port.Deployment {
 	var change port.Deployment
