--- a/internal/command/simulator/simulator.go
+++ b/internal/command/simulator/simulator.go
@@ -43,6 +43,7 @@
 			&cli.IntFlag{Name: "nodes", Usage: "how many nodes", Value: 6},
 			&cli.IntFlag{Name: "replicas", Usage: "how many replicas", Value: 5},
 			&cli.BoolFlag{Name: "unfenced", Usage: "replicas check no fences"},
+			&cli.BoolFlag{Name: "resting", Usage: "nodes follow the list of replicas only while they have use for it"},
 			&cli.DurationFlag{Name: "far-region", Usage: "how much longer messages between the two regions are under way, each way"},
 			&cli.DurationFlag{Name: "length", Usage: "how long faults come, in virtual time", Value: 40 * time.Second},
 		},
@@ -82,7 +83,7 @@
 	if err != nil {
 		return command.Fail(command.ExitUsage, err)
 	}
-	options := clustersim.Options{Nodes: c.Int("nodes"), Replicas: c.Int("replicas"), Length: c.Duration("length"), Faults: faults, Unfenced: c.Bool("unfenced"), FarRegion: c.Duration("far-region")}
+	options := clustersim.Options{Nodes: c.Int("nodes"), Replicas: c.Int("replicas"), Length: c.Duration("length"), Faults: faults, Unfenced: c.Bool("unfenced"), FarRegion: c.Duration("far-region"), Resting: c.Bool("resting")}
 	played := playSeeds(c.Root().Writer, first, last, options)
 	fmt.Fprintf(c.Root().Writer, "%d seeds: %d of %d jobs accepted, %d results, %d seeds with a violation %v\n",
 		last-first+1, played.accepted, played.jobs, played.results, len(played.failed), played.violations)
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -8,18 +8,18 @@
 trap 'rm -rf "$scratch"' EXIT
 failed=0
 
-# prove PATCH INVARIANT SEEDS FAULTS
+# prove PATCH INVARIANT SEEDS FAULTS [FLAG]
 prove() {
-	local patch=$1 invariant=$2 seeds=$3 faults=$4
+	local patch=$1 invariant=$2 seeds=$3 faults=$4 flag=${5:-}
 	rm -rf "$scratch/tree"
 	mkdir "$scratch/tree"
 	git archive HEAD | tar -x -C "$scratch/tree"
 	patch -s -p1 -d "$scratch/tree" <"scripts/proof/$patch.patch"
 	(cd "$scratch/tree" && go build -o "$scratch/broken" ./cmd/doorstep-sim)
 	local brokenSeeds cleanSeeds
-	brokenSeeds=$("$scratch/broken" sweep --seeds "$seeds" --faults "$faults" 2>/dev/null | grep -c ": $invariant at" || true)
-	cleanSeeds=$("$scratch/clean" sweep --seeds "$seeds" --faults "$faults" 2>/dev/null | grep -c "^seed" || true)
-	echo "$invariant | $seeds, $faults | broken: $brokenSeeds seeds fail | product: $cleanSeeds violations"
+	brokenSeeds=$("$scratch/broken" sweep ${flag:+"$flag"} --seeds "$seeds" --faults "$faults" 2>/dev/null | grep -c ": $invariant at" || true)
+	cleanSeeds=$("$scratch/clean" sweep ${flag:+"$flag"} --seeds "$seeds" --faults "$faults" 2>/dev/null | grep -c "^seed" || true)
+	echo "$invariant | $seeds, $faults $flag | broken: $brokenSeeds seeds fail | product: $cleanSeeds violations"
 	if [ "$brokenSeeds" -eq 0 ] || [ "$cleanSeeds" -ne 0 ]; then
 		echo "  NOT PROVED" >&2
 		failed=1
@@ -48,4 +48,5 @@
 prove 19-cold-bound cold-bounded 1..20 replica-cold,zone-cold-return,all-cold
 prove 20-home-regions homes-kept 1..10 homes-change
 prove 21-sound-owner sound-owner-kept 1..60 region-slow
+prove 22-owners-follow-replicas drains-respected 1..20 replica-drains --resting
 exit $failed
