Jobs that nobody runs go to nodes that are fit to run them

Cause: on the whole fleet a step's items waited for their owner to read 10,000 replicas (280 ms of a core by a benchmark, some 2.4 s at 0.192 of one, with 7 MB over its link), and four nodes of five are that slow. Change: a node that is slow (below half of a core), or would have to read the replicas of a large deployment first, leaves a job that it accepts to the fitter ones, which come to it in their turns: the owner of the model's last step, then nodes that know all replicas, then others, then slow ones 0.8 s behind. The same turns hold for silent owners' jobs. Nodes of small deployments are alike, but for slow ones. Ruled out: a list of fit nodes written by one holder (an index of who is alive would grow old); a share in each head (a new field of a record for what a turn does without).

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -180,6 +180,7 @@
 		Name: options.Settings.Name, Topology: options.Settings.Topology(), Cold: options.Settings.Cold, Incarnation: options.Incarnation, Decoder: options.Protocol,
 		OrderPause: options.Settings.Orders.Pause(), Duties: dutiesOf(options.Settings),
 		WallAhead: func() time.Duration { return -a.clock.Suspended() }, LargeList: options.Settings.Store.LargeList,
+		ProcessorShare: options.Settings.Processor.Share,
 	})
 	return a
 }
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -65,6 +65,8 @@
 	WallAhead func() time.Duration
 	// Duties are the calls to the platform that one node at a time makes.
 	Duties Duties
+	// ProcessorShare is the part of a core that this node may use, 0 where that is not told.
+	ProcessorShare float64
 	// LargeList is from how many replicas on the list of them is not followed without use for it,
 	// recordwatch.LargeTable if it is 0.
 	LargeList int
@@ -130,7 +132,7 @@
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
 		Place: n.place, PlaceScoring: n.placeScoring, Find: n.endpoints.Find, Route: n.Route, Clock: n.clock.bounds,
-		Latency: n.Latency, Nodes: n.Nodes,
+		Latency: n.Latency, Nodes: n.Nodes, Standing: n.standing,
 		LengthHint: options.Decoder.LengthHint, MostEvents: n.mostEvents, ExpectedTokens: n.expectedTokens, Observed: n.observed,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
 	})
--- a/internal/process/cluster/replicalist.go
+++ b/internal/process/cluster/replicalist.go
@@ -63,7 +63,7 @@
 // replicaExtent returns how much of the list of replicas this node has use for.
 func (n *Node) replicaExtent(now time.Time) recordwatch.Extent {
 	use := &n.replicaUse
-	if n.jobs.Owned() > 0 || n.lease.Held(now) || n.scaling != nil && n.scaling.lease.Held(now) {
+	if n.jobs.Owned() > 0 || n.leads(now) {
 		use.neededUntil = now.Add(wholeFor)
 	}
 	switch {
@@ -76,6 +76,11 @@
 	return recordwatch.Nothing
 }
 
+// leads reports whether this node holds a lease whose holder decides over replicas.
+func (n *Node) leads(now time.Time) bool {
+	return n.lease.Held(now) || n.scaling != nil && n.scaling.lease.Held(now)
+}
+
 // listsAll reports whether no replica is passed over that stands in the list: only then items are placed,
 // and the lease's holders decide. It is so as well before anything was read, as none is known then.
 func (n *Node) listsAll() bool { return !n.replicas.Read() || n.replicas.Follows(recordwatch.Whole) }
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -66,9 +66,12 @@
 	n.watches = append(n.watches, n.shared)
 }
 
-// relaxed reports whether this node runs nothing that waits for changes of the tables: it owns no job and
-// orders no versions. That is true of nearly all nodes of a large deployment.
-func (n *Node) relaxed(now time.Time) bool { return n.jobs.Owned() == 0 && !n.lease.Held(now) }
+// relaxed reports whether this node runs nothing that waits for changes of the tables: it owns no job,
+// orders no versions and is not ready to take the next job. That is true of nearly all nodes of a large
+// deployment.
+func (n *Node) relaxed(now time.Time) bool {
+	return n.jobs.Owned() == 0 && !n.lease.Held(now) && n.standing(now) != batch.Ready
+}
 
 // BeginReading notes that a caller waits for a change of a job, until EndReading is called.
 func (n *Node) BeginReading(now time.Time) {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -40,6 +40,8 @@
 	Cold Cold `koanf:"cold"`
 	// Tenants say how callers' keys are taken away.
 	Tenants Tenants `koanf:"tenants"`
+	// Processor is what the process may use of it.
+	Processor Processor `koanf:"processor"`
 	// Memory bounds the process.
 	Memory Memory `koanf:"memory"`
 	// Log configures the log.
@@ -144,6 +146,12 @@
 	LimitMb int `koanf:"limit_mb" validate:"min=0"`
 }
 
+// Processor is what the process may use of it.
+type Processor struct {
+	// Share is in cores; 0 where that is not known.
+	Share float64 `koanf:"share" validate:"min=0,max=1024"`
+}
+
 // Log configures the log.
 type Log struct {
 	// Level is debug, info, warn or error; JSON writes one object a line.
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -47,7 +47,7 @@
 	// way; the record store stands in one of them.
 	FarRegion time.Duration
 	// Resting lets nodes follow the list of replicas only while they have use for it, as in a large
-	// deployment.
+	// deployment; every second node is slow then.
 	Resting bool
 	// Log, unless nil, takes what nodes log, by the record store's clock.
 	Log func(node string, clock time.Duration, number int, fields []any)
@@ -195,15 +195,21 @@
 	troubledAt time.Time
 	// wallAhead is by how much its time of day is ahead of the true one.
 	wallAhead time.Duration
-	version   int64
-	runs      map[uint64]*run
-	calls     map[uint64]*scoringCall
-	stopping  bool
+	// processorShare is what it may use of a core, 0 where it is not told.
+	processorShare float64
+	version        int64
+	runs           map[uint64]*run
+	calls          map[uint64]*scoringCall
+	stopping       bool
 }
 
 func newNode(w *World, index int) *node {
 	ahead := time.Duration(w.random.Int64N(int64(2*wallSpread))) - wallSpread
-	return &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%zoneCount), wallAhead: ahead}
+	n := &node{world: w, name: fmt.Sprintf("node-%d", index), zone: fmt.Sprintf("zone-%d", index%zoneCount), wallAhead: ahead}
+	if w.options.Resting {
+		n.processorShare = []float64{0.8, 0.2}[index%2]
+	}
+	return n
 }
 
 func (n *node) start() {
@@ -219,7 +225,7 @@
 	n.node = cluster.New(n.world.Now, cluster.Options{
 		Name: n.name, Topology: topologyAt(n.zone), Incarnation: n.life*1000 + uint64(len(n.name)) + n.world.options.Seed<<20, Decoder: decoder{}, OrderPause: orderPause,
 		WallAhead: func() time.Duration { return n.wallAhead }, Duties: simulatedDuties(), Cold: coldSettings,
-		LargeList: n.world.options.largeList(),
+		LargeList: n.world.options.largeList(), ProcessorShare: n.processorShare,
 	})
 	n.world.Every(tickEvery, func() bool {
 		if n.life != life || !n.up {
--- a/internal/version/batch/assign.go
+++ b/internal/version/batch/assign.go
@@ -20,7 +20,8 @@
 
 // assign chooses the owner of a new job: the node that runs the model's other jobs, if it
 // was heard of just now. It alone knows what it has sent to the model's replicas, so that
-// two steps that overlap don't crowd the same ones, and it has connections to them. Where it is
+// two steps that overlap don't crowd the same ones, and it has connections to them. Without such a node
+// this one runs it if it is fit to, and else nobody until a fitter one takes it. Where the node is
 // far from the store and another owner is not, that one is chosen (preference.go). A wrong guess
 // costs what a dead owner costs: another node takes the job. The owner lies in one of the regions,
 // of which nil are any.
@@ -38,7 +39,8 @@
 	return cmp.Or(cmp.Compare(h.AcceptedAtMs, other.AcceptedAtMs), cmp.Compare(h.revision, other.revision)) > 0
 }
 
-// ownerOfModel returns the node that runs the newest of the model's other jobs, this one if there is none.
+// ownerOfModel returns the node that runs the newest of the model's other jobs; if there is none, this one,
+// or nobody if it isn't fit to.
 // Of jobs accepted in the same millisecond the one whose head the store took last counts.
 func (j *Jobs) ownerOfModel(now time.Time, model string, regions []string) ownerID {
 	self := j.self()
@@ -56,6 +58,9 @@
 			newest = known
 		}
 	}
+	if newest == nil && !j.keeps(now) {
+		return ownerID{}
+	}
 	if newest == nil {
 		return self
 	}
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -108,6 +108,8 @@
 	Latency func() time.Duration
 	// Nodes returns how many nodes there are, 0 where that is not known.
 	Nodes func() int
+	// Standing returns how fit this node is to run one more job; nil where all nodes are alike.
+	Standing func(now time.Time) Standing
 	// Observed returns the time up to which a change of a head would have been heard of.
 	Observed func(now time.Time) time.Time
 	// Clock returns the least and the most that the store's steady clock may show;
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -3,14 +3,12 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/task"
-	"github.com/doorstep/doorstep/internal/version/recordlease"
 )
 
 const (
@@ -104,20 +102,14 @@
 	if known.Owner == j.options.Self {
 		return true
 	}
-	spread := j.spread(id)
+	spread, behind := j.turn(now, id, known)
 	unchanged := now.Sub(known.changedAt)
 	if known.Owner == "" {
-		return unchanged >= spread/2
+		return unchanged >= spread/2+behind
 	}
 	// The time before the watch began, and since it last heard, says nothing of the owner.
 	observed := j.options.Observed(now)
-	return min(observed.Sub(known.changedAt), observed.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread
-}
-
-// spread is how long this node leaves a job to others that would take it.
-func (j *Jobs) spread(id string) time.Duration {
-	over := recordlease.SpreadOver(takeoverSpread, j.options.Nodes)
-	return time.Duration(xxhash.Sum64String(id+"/"+j.options.Self) % uint64(over))
+	return min(observed.Sub(known.changedAt), observed.Sub(j.observedSince)) >= takeoverAfter+latencies*j.options.Latency()+spread+behind
 }
 
 func (j *Jobs) take(now time.Time, id string, known *head) {
