--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -61,16 +61,19 @@
 		Table: port.SharedTable, Partitions: partitions, Queue: n.queue, Jitter: n.random.Float64(), Distance: n.storeDistance(),
 		Wait: usualWait, Reread: sharedReread, Gather: sharedGather, MostGather: mostSharedGather,
 		OnList: n.onSharedList, OnChange: n.onShared, OnHealth: n.onSharedHealth,
-		Relaxed: func(now time.Time) bool { return n.relaxed(now) && n.readers == 0 },
+		Relaxed: n.unhurried,
 	})
 	n.watches = append(n.watches, n.shared)
 }
 
-// relaxed reports whether this node runs nothing that waits for changes of the tables: it owns no job,
-// orders no versions and is not ready to take the next job. That is true of nearly all nodes of a large
-// deployment.
-func (n *Node) relaxed(now time.Time) bool {
-	return n.jobs.Owned() == 0 && !n.lease.Held(now) && n.standing(now) != batch.Ready
+// relaxed reports whether this node runs nothing that waits for changes of the tables: it owns no job and
+// orders no versions. That is true of nearly all nodes of a large deployment.
+func (n *Node) relaxed(now time.Time) bool { return n.jobs.Owned() == 0 && !n.lease.Held(now) }
+
+// unhurried reports whether this node need not hear of jobs within moments: it is relaxed, holds no caller
+// that waits for one, and is not ready to take the next.
+func (n *Node) unhurried(now time.Time) bool {
+	return n.relaxed(now) && n.readers == 0 && n.standing(now) != batch.Ready
 }
 
 // BeginReading notes that a caller waits for a change of a job, until EndReading is called.
