A request for which no known replica may be used waits for more to be read

Cause, found by reading the change: a node that follows some replicas of one service refused the first request for another one, and one that had failed at the four replicas known to it, although more stood in the list; more were read for the next request only. Lists that one call reads are always known whole, so that nothing changes there. Test: TestAnotherServiceIsReadWhenAskedFor.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -76,9 +76,24 @@
 	}
 }
 
+// choose chooses a replica for the next attempt, nil if there is none. Where more are being read than are
+// known, as none of those may be used, a request with no attempt under way waits for them: another service
+// than that of the last requests was asked for, or all that were known have failed.
 func (x *exchange) choose() *endpoint.Endpoint {
-	var chosen *endpoint.Endpoint
-	quarantined := false
+	chosen, quarantined, more := x.chooseKnown()
+	for chosen == nil && more != nil && x.agent.awaitReplicas(x.request.Context(), more) {
+		chosen, quarantined, more = x.chooseKnown()
+	}
+	if chosen == nil && !quarantined && !x.relay.Pending() {
+		// A second replica for a request that is slow at the first is not worth the wait for a claim.
+		return x.chooseCold()
+	}
+	return chosen
+}
+
+// chooseKnown chooses among the replicas that are known. more is closed once more of them are, and nil if
+// that is not worth a wait.
+func (x *exchange) chooseKnown() (chosen *endpoint.Endpoint, quarantined bool, more <-chan struct{}) {
 	x.agent.do(func(now time.Time) {
 		quarantined = x.quarantined(now)
 		if quarantined {
@@ -89,12 +104,11 @@
 		if chosen == nil && x.agent.node.AllEvacuated(x.route, x.caller.Tenant) {
 			x.relay.Evacuated()
 		}
+		if chosen == nil && !x.relay.Pending() && x.agent.node.MoreReplicasAwaited() {
+			more = x.agent.untilReplicasKnown()
+		}
 	})
-	if chosen == nil && !quarantined && !x.relay.Pending() {
-		// A second replica for a request that is slow at the first is not worth the wait for a claim.
-		return x.chooseCold()
-	}
-	return chosen
+	return chosen, quarantined, more
 }
 
 // noteChosen notes the replica that the next attempt goes to, if there is one.
--- a/internal/process/agent/replicas.go
+++ b/internal/process/agent/replicas.go
@@ -14,15 +14,11 @@
 // useReplicas lets the node follow replicas of a route's services until the function that it returns is
 // called, and waits until some are known.
 func (a *Agent) useReplicas(ctx context.Context, route *port.Route) (end func()) {
-	var known chan struct{}
+	var known <-chan struct{}
 	a.do(func(now time.Time) {
-		if !a.node.BeginRequest(now, route) {
-			return
+		if a.node.BeginRequest(now, route) {
+			known = a.untilReplicasKnown()
 		}
-		if a.replicasKnown == nil {
-			a.replicasKnown = make(chan struct{})
-		}
-		known = a.replicasKnown
 	})
 	if known != nil {
 		a.awaitReplicas(ctx, known)
@@ -30,11 +26,22 @@
 	return func() { a.do(a.node.EndRequest) }
 }
 
-func (a *Agent) awaitReplicas(ctx context.Context, known <-chan struct{}) {
+// untilReplicasKnown returns what is closed once replicas were read. It is called under the lock.
+func (a *Agent) untilReplicasKnown() <-chan struct{} {
+	if a.replicasKnown == nil {
+		a.replicasKnown = make(chan struct{})
+	}
+	return a.replicasKnown
+}
+
+// awaitReplicas reports whether replicas were read before the time for it was over.
+func (a *Agent) awaitReplicas(ctx context.Context, known <-chan struct{}) bool {
 	ctx, cancel := context.WithTimeout(ctx, replicaWait)
 	defer cancel()
 	select {
 	case <-known:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- a/internal/process/cluster/replicalist.go
+++ b/internal/process/cluster/replicalist.go
@@ -115,6 +115,12 @@
 	return !n.lapses.away && n.replicas.Awaited(recordwatch.Part)
 }
 
+// MoreReplicasAwaited reports whether more replicas than those known are being read, as a choice found none
+// that may be used.
+func (n *Node) MoreReplicasAwaited() bool {
+	return !n.lapses.away && !n.listsAll() && n.replicas.Reading()
+}
+
 // onStoreHealth notes that the store went away, or came back, while the list of replicas was not followed.
 func (n *Node) onStoreHealth(now time.Time, healthy bool) {
 	if !n.replicas.Follows(recordwatch.Part) {
--- a/internal/process/cluster/replicalist_test.go
+++ b/internal/process/cluster/replicalist_test.go
@@ -281,3 +281,35 @@
 		t.Errorf("%d of %d replicas are the whole list", known, replicas)
 	}
 }
+
+// TestAnotherServiceIsReadWhenAskedFor: what is known serves one service; a request of another one gets its
+// replicas read, and so does one that has failed at all that are known.
+func TestAnotherServiceIsReadWhenAskedFor(t *testing.T) {
+	d := newLargeDeployment(t, 2_000)
+	for number := range 5 {
+		one := port.ReplicaRecord{ID: fmt.Sprintf("9%04dz", number), Service: "rare", Address: fmt.Sprint("rare-", number), Slots: 4}
+		d.put("replicas", one.ID, one)
+	}
+	d.run(time.Second)
+	d.serve()
+	rare := &port.Route{Name: "q", Kind: port.RouteIdempotent, Backends: []port.Backend{{Service: "rare", Weight: 1}}}
+	d.node.BeginRequest(d.now, rare)
+	failed := map[string]bool{}
+	for range 5 {
+		chosen := d.node.Choose(d.now, rare, "", "", failed)
+		for range 8 {
+			if chosen != nil || !d.node.MoreReplicasAwaited() {
+				break
+			}
+			d.settle()
+			chosen = d.node.Choose(d.now, rare, "", "", failed)
+		}
+		if chosen == nil {
+			t.Fatalf("no replica once %d failed", len(failed))
+		}
+		failed[chosen.ID] = true
+	}
+	if d.node.Choose(d.now, rare, "", "", failed) != nil {
+		t.Error("a sixth of five replicas")
+	}
+}
--- a/internal/process/recordwatch/extent.go
+++ b/internal/process/recordwatch/extent.go
@@ -52,6 +52,9 @@
 // against the store.
 func (w *Watch) Awaited(extent Extent) bool { return !w.Follows(extent) && !w.failing }
 
+// Reading reports whether the table, or a part of it, is being read.
+func (w *Watch) Reading() bool { return w.listing < len(w.options.Partitions) }
+
 // Since returns since when the whole table is known without a rest, zero while it isn't.
 func (w *Watch) Since() time.Time {
 	if !w.Follows(Whole) {
@@ -79,7 +82,7 @@
 // whether the watch rests.
 func (w *Watch) adjust(now time.Time) bool {
 	wanted := w.wanted(now)
-	reading := w.listing < len(w.options.Partitions)
+	reading := w.Reading()
 	switch {
 	case wanted == Nothing:
 		w.rest()
@@ -106,7 +109,7 @@
 // ReadMore reads a part of the table anew, once what was enough of it no longer is, unless one is being
 // read.
 func (w *Watch) ReadMore(now time.Time) {
-	if !w.Follows(Part) || w.known == Whole || w.listing < len(w.options.Partitions) {
+	if !w.Follows(Part) || w.known == Whole || w.Reading() {
 		return
 	}
 	if w.watching {
