Simulator: trace plays one seed and prints what led to a violation

A broken promise named its seed and its last moment alone: which fault, order or change came before could only be guessed.

--- a/internal/command/simulator/simulator.go
+++ b/internal/command/simulator/simulator.go
@@ -29,7 +29,7 @@
 	return &cli.Command{
 		Name:     "doorstep-sim",
 		Usage:    "simulate a deployment of doorstep on a virtual clock, under faults",
-		Commands: []*cli.Command{sweepCommand(), faultsCommand()},
+		Commands: []*cli.Command{sweepCommand(), traceCommand(), faultsCommand()},
 	}
 }
 
@@ -37,20 +37,38 @@
 	return &cli.Command{
 		Name:  "sweep",
 		Usage: "play many seeds and list what they break",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "seeds", Usage: "the seeds, as `FIRST..LAST`", Value: "1..64"},
-			&cli.StringFlag{Name: "faults", Usage: "names with commas between, all, or none", Value: "none"},
-			&cli.IntFlag{Name: "nodes", Usage: "how many nodes", Value: 6},
-			&cli.IntFlag{Name: "replicas", Usage: "how many replicas", Value: 5},
-			&cli.BoolFlag{Name: "unfenced", Usage: "replicas check no fences"},
-			&cli.BoolFlag{Name: "resting", Usage: "nodes follow the list of replicas only while they have use for it"},
-			&cli.DurationFlag{Name: "far-region", Usage: "how much longer messages between the two regions are under way, each way"},
-			&cli.DurationFlag{Name: "length", Usage: "how long faults come, in virtual time", Value: 40 * time.Second},
-		},
+		}, worldFlags()...),
 		Action: runSweep,
 	}
 }
 
+// worldFlags are those that say what is simulated.
+func worldFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "faults", Usage: "names with commas between, all, or none", Value: "none"},
+		&cli.IntFlag{Name: "nodes", Usage: "how many nodes", Value: 6},
+		&cli.IntFlag{Name: "replicas", Usage: "how many replicas", Value: 5},
+		&cli.BoolFlag{Name: "unfenced", Usage: "replicas check no fences"},
+		&cli.BoolFlag{Name: "resting", Usage: "nodes follow the list of replicas only while they have use for it"},
+		&cli.DurationFlag{Name: "far-region", Usage: "how much longer messages between the two regions are under way, each way"},
+		&cli.DurationFlag{Name: "length", Usage: "how long faults come, in virtual time", Value: 40 * time.Second},
+	}
+}
+
+// worldOptions reads the flags of worldFlags.
+func worldOptions(c *cli.Command) (clustersim.Options, error) {
+	faults, err := clustersim.FindFaults(c.String("faults"))
+	if err != nil {
+		return clustersim.Options{}, command.Fail(command.ExitUsage, err)
+	}
+	return clustersim.Options{
+		Nodes: c.Int("nodes"), Replicas: c.Int("replicas"), Length: c.Duration("length"), Faults: faults,
+		Unfenced: c.Bool("unfenced"), FarRegion: c.Duration("far-region"), Resting: c.Bool("resting"),
+	}, nil
+}
+
 func faultsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "faults",
@@ -75,15 +93,14 @@
 }
 
 func runSweep(_ context.Context, c *cli.Command) error {
-	faults, err := clustersim.FindFaults(c.String("faults"))
+	options, err := worldOptions(c)
 	if err != nil {
-		return command.Fail(command.ExitUsage, err)
+		return err
 	}
 	first, last, err := parseSeeds(c.String("seeds"))
 	if err != nil {
 		return command.Fail(command.ExitUsage, err)
 	}
-	options := clustersim.Options{Nodes: c.Int("nodes"), Replicas: c.Int("replicas"), Length: c.Duration("length"), Faults: faults, Unfenced: c.Bool("unfenced"), FarRegion: c.Duration("far-region"), Resting: c.Bool("resting")}
 	played := playSeeds(c.Root().Writer, first, last, options)
 	fmt.Fprintf(c.Root().Writer, "%d seeds: %d of %d jobs accepted, %d results, %d seeds with a violation %v\n",
 		last-first+1, played.accepted, played.jobs, played.results, len(played.failed), played.violations)
--- /dev/null
+++ b/internal/command/simulator/trace.go
@@ -0,0 +1,58 @@
+package simulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/doorstep/doorstep/internal/command"
+	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/simulation/clustersim"
+)
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "trace",
+		Usage:  "play one seed and print what nodes log, which faults come and what is broken, in order",
+		Flags:  append([]cli.Flag{&cli.Uint64Flag{Name: "seed", Usage: "the seed to play", Value: 1}}, worldFlags()...),
+		Action: runTrace,
+	}
+}
+
+func runTrace(_ context.Context, c *cli.Command) error {
+	options, err := worldOptions(c)
+	if err != nil {
+		return err
+	}
+	output := c.Root().Writer
+	options.Seed = c.Uint64("seed")
+	options.Log = func(node string, clock time.Duration, number int, fields []any) {
+		printEvent(output, node, clock, number, fields)
+	}
+	options.Trace = func(clock time.Duration, what string) { printTraced(output, clock, "world", what) }
+	if report := clustersim.New(options).Run(); len(report.Violations) > 0 {
+		return command.Fail(command.ExitFailed, errors.New("a promise was broken"))
+	}
+	return nil
+}
+
+// printEvent prints what a node logs.
+func printEvent(output io.Writer, node string, clock time.Duration, number int, fields []any) {
+	entry, ok := event.Find(number)
+	if !ok {
+		entry.Message = fmt.Sprintf("event %d", number)
+	}
+	what := entry.Message
+	for i := 0; i+1 < len(fields); i += 2 {
+		what += fmt.Sprintf(" %v=%v", fields[i], fields[i+1])
+	}
+	printTraced(output, clock, node, what)
+}
+
+func printTraced(output io.Writer, clock time.Duration, source, what string) {
+	fmt.Fprintf(output, "%10.3f %-8s %s\n", clock.Seconds(), source, what)
+}
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -95,6 +95,7 @@
 }
 
 func (c *checker) violate(w *World, invariant, format string, values ...any) {
+	w.trace("violation of "+invariant+": "+format, values...)
 	if len(c.violations) < violationsAtMost {
 		c.violations = append(c.violations, Violation{Invariant: invariant, Detail: fmt.Sprintf(format, values...), At: w.Now.Sub(epoch)})
 	}
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -89,7 +89,9 @@
 					return
 				}
 				w.faults[fault.Name]++
-				fault.inject(w, fault.lasts/4+time.Duration(w.random.Int64N(int64(fault.lasts)*3/4)))
+				lasts := fault.lasts/4 + time.Duration(w.random.Int64N(int64(fault.lasts)*3/4))
+				w.trace("fault %s for %s", fault.Name, lasts)
+				fault.inject(w, lasts)
 				next()
 			})
 		}
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -63,6 +63,7 @@
 // startReplica begins an incarnation's life.
 func (w *World) startReplica(r *replica) *replica {
 	r.world, r.up = w, true
+	w.trace("%s starts at %s in %s", r.ID, r.address, r.zone)
 	w.replicas = append(w.replicas, r)
 	r.turnCold()
 	r.list()
@@ -125,6 +126,7 @@
 		return false
 	}
 	r.up = false
+	r.world.trace("%s ends", r.ID)
 	for _, one := range slices.Clone(r.runs) {
 		one.crashed = true
 		one.end(task.RunInterrupted)
@@ -353,7 +355,9 @@
 		return
 	}
 	before := r.Version(w.Now, order.Model)
-	if r.Order(w.Now, order) == port.VersionOrderAccepted && order.Version < before {
+	status := r.Order(w.Now, order)
+	w.trace("late order of %s to %s: version %d of %s at count %d, status %d", order.Holder, r.ID, order.Version, order.Model, order.ExpectedSequence, status)
+	if status == port.VersionOrderAccepted && order.Version < before {
 		w.check.violate(w, "versions-rise", "%s went from version %d of %s back to %d by a late order", r.ID, before, order.Model, order.Version)
 	}
 }
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -51,6 +51,8 @@
 	Resting bool
 	// Log, unless nil, takes what nodes log, by the record store's clock.
 	Log func(node string, clock time.Duration, number int, fields []any)
+	// Trace, unless nil, takes what the world does: faults, orders and lives of replicas, violations.
+	Trace func(clock time.Duration, what string)
 }
 
 // largeList returns from how many replicas on nodes take the list for a large one, 0 for the product's own
@@ -132,6 +134,13 @@
 	return w.report()
 }
 
+// trace tells of something that the world does.
+func (w *World) trace(format string, values ...any) {
+	if w.options.Trace != nil {
+		w.options.Trace(w.Now.Sub(epoch), fmt.Sprintf(format, values...))
+	}
+}
+
 func (w *World) runUntil(end time.Time) {
 	for w.Now.Before(end) {
 		if !w.Step() {
