Jobs whose homes change while they are read go back unread

Cause, from the trace: node-5 took job-2 at 6.770 s, while region-1 was a home. At 6.784 s it came to go by version 7 of the configuration, which leaves region-0 alone, and the store fell silent. Whether the node may have the job was asked once, before it took it. The reads that follow, and each repeat of one that gets no answer, asked no more.

Changed: the reading of a content asks before each call (contentReading), that of kept texts before each further page. A node that owns a job by its head and may not read it names no owner in the head, along with the new regions, so that a node of the homes takes it at once; before, that one waited until the owner was held for silent.

TestContentIsNotReadOutsideOfTheHomes failed before (8 reads of the content, no new owner), TestTextsAreNotReadOutsideOfTheHomes too (10 reads of texts) as well; all pass.

--- a/internal/simulation/clustersim/region_test.go
+++ b/internal/simulation/clustersim/region_test.go
@@ -89,3 +89,14 @@
 		t.Errorf("%d jobs taken over from the region that is cut off, %d of %d accepted", got.Taken, got.Accepted, got.Jobs)
 	}
 }
+
+// TestContentStaysInItsHomes: seeds in which homes change while the store gives an owner no answer. It went on
+// reading a job's content from a region that was no home any more.
+func TestContentStaysInItsHomes(t *testing.T) {
+	for _, seed := range []uint64{700169} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			report(t, seed, play(seed, Faults))
+		})
+	}
+}
--- a/internal/version/batch/bench_test.go
+++ b/internal/version/batch/bench_test.go
@@ -37,7 +37,9 @@
 	stopped map[uint64]bool
 	// answer decides over a commit's answer; nil lets all through.
 	answer func(commit task.Commit) (port.RecordResult, bool)
-	later  []task.Later
+	// read decides over a read's answer; nil lets all through.
+	read  func(query port.RecordRange) (port.RecordResult, bool)
+	later []task.Later
 	// fleet, unless nil, takes the place of one.
 	fleet *fleet
 }
@@ -99,7 +101,7 @@
 			case task.Commit:
 				b.commit(t)
 			case task.Range:
-				t.Done(b.now, b.store.Range(b.now, t.Query))
+				t.Done(b.now, b.rangeResult(t.Query))
 			case task.Run:
 				b.runs = append(b.runs, t)
 			case task.ScoringCall:
@@ -113,6 +115,15 @@
 	}
 }
 
+func (b *bench) rangeResult(query port.RecordRange) port.RecordResult {
+	if b.read != nil {
+		if result, own := b.read(query); own {
+			return result
+		}
+	}
+	return b.store.Range(b.now, query)
+}
+
 func (b *bench) commit(t task.Commit) {
 	if b.answer != nil {
 		if result, own := b.answer(t); own {
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -84,14 +84,18 @@
 	}
 	for _, id := range sortedKeys(j.heads) {
 		known := j.heads[id]
-		if known.Ended || known.complete() || known.mutating || now.Before(known.nextTry) || j.owned[id] != nil || !j.mayTake(now, id, known) {
+		if known.Ended || known.complete() || known.mutating || now.Before(known.nextTry) || j.owned[id] != nil {
 			continue
 		}
-		if j.mine(known.BatchJobHead) {
+		switch mine := j.mine(known.BatchJobHead); {
+		case mine && !j.mayOwn(known.BatchJobHead):
+			j.giveBack(now, id, known)
+		case !j.mayTake(now, id, known):
+		case mine:
 			j.load(now, id, known, "")
-			continue
+		default:
+			j.take(now, id, known)
 		}
-		j.take(now, id, known)
 	}
 }
 
@@ -137,20 +141,43 @@
 // its work. A job that nobody owned before has no texts.
 func (j *Jobs) load(now time.Time, id string, known *head, former string) {
 	known.mutating = true
-	j.ReadContent(now, id, func(now time.Time, job *doorstepv1.BatchJob) {
+	loaded := func(now time.Time, job *doorstepv1.BatchJob) {
 		known.mutating = false
-		if job == nil {
-			known.nextTry = now.Add(longestPause)
-			return
-		}
 		current := j.heads[id]
 		if current == nil || !j.mine(current.BatchJobHead) || current.Ended || j.owned[id] != nil {
 			return
 		}
+		if !j.mayOwn(current.BatchJobHead) {
+			j.giveBack(now, id, current)
+			return
+		}
+		if job == nil {
+			known.nextTry = now.Add(longestPause)
+			return
+		}
 		if former == "" {
 			j.options.Queue.Log(event.JobAssigned, "job", id, "listed", current.Listed, "total", current.Total)
 		}
 		j.begin(now, job, current.BatchJobHead, current.revision, current.changedAt, former != "" || current.Beat > 0)
+	}
+	// Homes may change while the store gives no answer: the reads of a node that they exclude end there.
+	allowed := func() bool { return j.mayOwn(known.BatchJobHead) }
+	j.readContent(now, id, allowed, loaded)
+}
+
+// giveBack names no owner in the head of a job that this node owns by its head and may not read any more:
+// nodes of its homes need not wait then for the owner to be held for silent.
+func (j *Jobs) giveBack(now time.Time, id string, known *head) {
+	known.mutating = true
+	homes := j.options.Homes.ofHead(known.BatchJobHead)
+	next := proto.Clone(known.BatchJobHead).(*doorstepv1.BatchJobHead)
+	next.Owner = ""
+	next.Beat++
+	tellRegions(next, homes)
+	j.options.Queue.Log(event.JobLeavesRegion, "job", id, "region", j.options.Topology.Region, "homes", homes.Regions)
+	j.commitHead(id, next, known.revision, nil, func(now time.Time, _ port.RecordResult) {
+		known.mutating = false
+		known.nextTry = now.Add(longestPause)
 	})
 }
 
--- a/internal/version/batch/read.go
+++ b/internal/version/batch/read.go
@@ -70,42 +70,60 @@
 		done(now, own.job)
 		return
 	}
-	j.readContent(now, id, contentTries, done)
+	j.readContent(now, id, func() bool { return true }, done)
 }
 
-func (j *Jobs) readContent(now time.Time, id string, tries int, done func(now time.Time, job *doorstepv1.BatchJob)) {
-	var content []byte
-	from := id + "/m/"
-	var next func(now time.Time)
-	next = func(time.Time) {
-		j.options.Queue.Add(task.Range{
-			Query: port.RecordRange{Table: DataTable, Partition: Partition(id), From: from, To: id + "/m/~"},
-			Done: func(now time.Time, result port.RecordResult) {
-				if result.Status != port.RecordDone {
-					tries--
-					if tries <= 0 {
-						done(now, nil)
-						return
-					}
-					j.later(longestPause/2, next)
-					return
-				}
-				for _, record := range result.Records {
-					content = append(content, record.Value...)
-					from = record.Key + "\x00"
-				}
-				if result.More {
-					next(now)
-					return
-				}
-				job := &doorstepv1.BatchJob{}
-				if err := proto.Unmarshal(content, job); err != nil || job.Id != id {
-					done(now, nil)
-					return
-				}
-				done(now, job)
-			},
-		})
+// readContent reads a job's content while this node may.
+func (j *Jobs) readContent(now time.Time, id string, allowed func() bool, done func(now time.Time, job *doorstepv1.BatchJob)) {
+	r := &contentReading{jobs: j, id: id, tries: contentTries, from: id + "/m/", allowed: allowed, done: done}
+	r.next(now)
+}
+
+// contentReading reads the records of a job's content, one call after the other.
+type contentReading struct {
+	jobs    *Jobs
+	id      string
+	tries   int
+	from    string
+	content []byte
+	// allowed reports whether this node may still read the content; it is asked ahead of each call.
+	allowed func() bool
+	done    func(now time.Time, job *doorstepv1.BatchJob)
+}
+
+func (r *contentReading) next(now time.Time) {
+	if !r.allowed() {
+		r.done(now, nil)
+		return
+	}
+	r.jobs.options.Queue.Add(task.Range{
+		Query: port.RecordRange{Table: DataTable, Partition: Partition(r.id), From: r.from, To: r.id + "/m/~"},
+		Done:  r.onRange,
+	})
+}
+
+func (r *contentReading) onRange(now time.Time, result port.RecordResult) {
+	if result.Status != port.RecordDone {
+		r.tries--
+		if r.tries <= 0 {
+			r.done(now, nil)
+			return
+		}
+		r.jobs.later(longestPause/2, r.next)
+		return
+	}
+	for _, record := range result.Records {
+		r.content = append(r.content, record.Value...)
+		r.from = record.Key + "\x00"
+	}
+	if result.More {
+		r.next(now)
+		return
+	}
+	job := &doorstepv1.BatchJob{}
+	if err := proto.Unmarshal(r.content, job); err != nil || job.Id != r.id {
+		r.done(now, nil)
+		return
 	}
-	next(now)
+	r.done(now, job)
 }
--- a/internal/version/batch/regions.go
+++ b/internal/version/batch/regions.go
@@ -29,6 +29,15 @@
 	return h.Of(route, tenant)
 }
 
+// ofHead returns the homes of a job that is known by its head alone.
+func (h Homes) ofHead(head *doorstepv1.BatchJobHead) port.Homes {
+	var route *port.Route
+	if h.Named != nil && head.Route != "" {
+		route = h.Named(head.Route)
+	}
+	return h.of(route, head.Tenant)
+}
+
 func (h Homes) served(route *port.Route, tenant string) bool {
 	return h.Served == nil || route == nil || h.Served(route, tenant)
 }
@@ -74,11 +83,7 @@
 	if topology.Several() && !h.known() {
 		return false
 	}
-	var route *port.Route
-	if h.Named != nil && head.Route != "" {
-		route = h.Named(head.Route)
-	}
-	return j.here(h.of(route, head.Tenant), head.AcceptedIn)
+	return j.here(h.ofHead(head), head.AcceptedIn)
 }
 
 // ownerWithin reports whether the owner of a job surely lies in regions, of which nil are any. An owner
@@ -117,13 +122,18 @@
 	o.unserved = !served
 }
 
-// tellRegions brings a head up to date with the homes. It keeps what it told last where there are
-// none any more, or none that a node could lie in.
+// tellRegions brings a head up to date with the route and the homes.
 func (o *ownedJob) tellRegions(next *doorstepv1.BatchJobHead) {
 	if route := o.route(); route != nil && next.Route != "" {
 		next.Route = route.Name
 	}
-	if regions := ownerRegions(o.homes(), next.AcceptedIn); len(regions) > 0 {
+	tellRegions(next, o.homes())
+}
+
+// tellRegions brings a head up to date with the homes. It keeps what it told last where there are
+// none any more, or none that a node could lie in.
+func tellRegions(next *doorstepv1.BatchJobHead, homes port.Homes) {
+	if regions := ownerRegions(homes, next.AcceptedIn); len(regions) > 0 {
 		next.Regions = regions
 	}
 }
--- a/internal/version/batch/regions_test.go
+++ b/internal/version/batch/regions_test.go
@@ -214,3 +214,64 @@
 		t.Errorf("regions %v, route %q, accepted in %q", head.Regions, head.Route, head.AcceptedIn)
 	}
 }
+
+// TestContentIsNotReadOutsideOfTheHomes: homes change while a node that has just taken a job reads its
+// content. Reads that got no answer must not be repeated from a region that is no home any more, and the
+// job goes to a node that may have it. Seed 700169 of the simulator showed it.
+func TestContentIsNotReadOutsideOfTheHomes(t *testing.T) {
+	store := newStore()
+	acceptor, owner, next := homed("a", "west", store, "north"), homed("b", "north", store, "north"), homed("c", "south", store, "south")
+	acceptor.accept(newJob("j", 2))
+	acceptor.pass(100 * time.Millisecond)
+	owner.now = acceptor.now
+	share(owner)
+	reads := 0
+	owner.read = func(query port.RecordRange) (port.RecordResult, bool) {
+		if query.Table != DataTable {
+			return port.RecordResult{}, false
+		}
+		reads++
+		owner.setHomes("south")
+		return port.RecordResult{Status: port.RecordUnknown}, true
+	}
+	owner.pass(takeoverAfter + 2*takeoverSpread)
+	if reads != 1 {
+		t.Errorf("%d reads of the content, the first was made in a home, none after it", reads)
+	}
+	next.now = owner.now
+	share(next)
+	if head := next.jobs.heads["j"]; head.Owner != "" || !slices.Equal(head.Regions, []string{"south", "west"}) {
+		t.Errorf("the head names owner %q, regions %v", head.Owner, head.Regions)
+	}
+	next.pass(takeoverSpread)
+	if next.jobs.Owned() != 1 {
+		t.Error("the new home's node does not take the job")
+	}
+}
+
+// TestTextsAreNotReadOutsideOfTheHomes: a job's kept texts take several reads. Those that are left when the
+// homes change are not made.
+func TestTextsAreNotReadOutsideOfTheHomes(t *testing.T) {
+	store := newStore()
+	acceptor, owner := homed("a", "west", store, "north"), homed("b", "north", store, "north")
+	acceptor.accept(newJob("j", 2))
+	acceptor.pass(100 * time.Millisecond)
+	owner.now = acceptor.now
+	share(owner)
+	reads := 0
+	owner.read = func(query port.RecordRange) (port.RecordResult, bool) {
+		if query.Table != DataTable || query.From < "j/t/" {
+			return port.RecordResult{}, false
+		}
+		reads++
+		owner.setHomes("south")
+		result := store.Range(owner.now, query)
+		result.Records = []port.Record{{RecordKey: port.RecordKey{Table: DataTable, Key: "j/t/0000/0000000000000001-00/000"}}}
+		result.More = reads < 10
+		return result, true
+	}
+	owner.pass(takeoverAfter + 2*takeoverSpread)
+	if reads != 1 {
+		t.Errorf("%d reads of texts, the first was made in a home, none after it", reads)
+	}
+}
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -152,7 +152,7 @@
 				return
 			}
 			records = append(records, result.Records...)
-			if result.Status == port.RecordDone && result.More && now.Before(o.startAfter) {
+			if result.Status == port.RecordDone && result.More && now.Before(o.startAfter) && o.jobs.mayOwn(o.head.BatchJobHead) {
 				o.readTextsFrom(records[len(records)-1].Key+"\x00", records)
 				return
 			}
