Records of a job are collected in its homes

The same fault elsewhere, found by reading: to delete a job that is over is to read its content, results and texts, as the store lists no keys without values. The holder of the order lease did it, in whatever region it stands.

Changed: a node collects only what it may own. Jobs that are bound to regions are collected by any node of these, up to ten minutes after the holder of the duty would have, spread by a hash, so that the first one's deletions are known before the next would begin. Unbound jobs are collected by the holder alone, as before.

The simulator's check of reads passed over those of a collection, whose range begins at the job itself; it counts them now.

TestContentIsCollectedInItsHomes fails with the two questions taken out (content read outside of its homes).

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -215,9 +215,9 @@
 	}
 	n.jobs.Tick(now)
 	n.quarantine.Tick(now)
+	// One node is enough to collect, and two at once would do no harm.
+	n.jobs.Collect(now, n.lease.Held(now))
 	if n.lease.Held(now) {
-		// One node is enough, and two at once would do no harm.
-		n.jobs.Collect(now)
 		n.quarantine.Collect(now)
 		n.collectCold(now)
 	}
--- a/internal/simulation/clustersim/check_homes.go
+++ b/internal/simulation/clustersim/check_homes.go
@@ -112,11 +112,12 @@
 // readsWithin is how long the reads of a content may go on that began under an older version.
 const readsWithin = 2 * time.Second
 
-// reads checks the reads of jobs' contents and texts, which nobody but owners makes here.
+// reads checks the reads of jobs' contents and texts, which owners make here, and nodes that collect a job's
+// records. Results alone are read anywhere, for clients.
 func (c *checker) reads(w *World, n *node, query port.RecordRange) {
 	job, rest, _ := strings.Cut(query.From, "/")
 	known := c.jobs[job]
-	if query.Table != batch.DataTable || known == nil || !strings.HasPrefix(rest, "m/") && !strings.HasPrefix(rest, "t/") || n.node.Routes() == nil {
+	if query.Table != batch.DataTable || known == nil || strings.HasPrefix(rest, "r/") || n.node.Routes() == nil {
 		return
 	}
 	if w.Now.Sub(c.homes.since[n.name].at) > readsWithin && !c.homes.mayHold(n, known) {
--- a/internal/version/batch/collect_test.go
+++ b/internal/version/batch/collect_test.go
@@ -17,7 +17,7 @@
 
 func (b *bench) collect(length time.Duration) {
 	for end := b.now.Add(length); b.now.Before(end); b.now = b.now.Add(collectEvery) {
-		b.jobs.Collect(b.now)
+		b.jobs.Collect(b.now, true)
 		b.settle()
 	}
 }
@@ -98,3 +98,36 @@
 		}
 	}
 }
+
+// TestContentIsCollectedInItsHomes: to delete a job's records is to read them. The holder of the duty must not
+// where it lies outside of the job's homes; a node of a home does it some time later.
+func TestContentIsCollectedInItsHomes(t *testing.T) {
+	store := newStore()
+	owner, outside, inside := homed("a", "north", store, "north"), homed("b", "south", store, "north"), homed("c", "north", store, "north")
+	owner.accept(newJob("j", 2))
+	owner.jobs.End(owner.now, "j", func(time.Time, Outcome) {})
+	owner.settle()
+	later := owner.now.Add(keepEnded + time.Minute)
+	for _, one := range []*bench{outside, inside} {
+		share(one)
+		one.now = later
+	}
+	outside.read = func(query port.RecordRange) (port.RecordResult, bool) {
+		if query.Table == DataTable {
+			t.Error("the content is read outside of its homes")
+		}
+		return port.RecordResult{}, false
+	}
+	outside.collect(5 * collectEvery)
+	outside.read = nil
+	if outside.recordsOf("j") == 0 {
+		t.Error("collected from outside of the homes")
+	}
+	for end := inside.now.Add(collectBoundWithin); inside.now.Before(end); inside.now = inside.now.Add(collectEvery) {
+		inside.jobs.Collect(inside.now, false)
+		inside.settle()
+	}
+	if left := inside.recordsOf("j"); left > 0 {
+		t.Errorf("%d records are left where no holder of the duty lies in the homes", left)
+	}
+}
