Jobs that begin during a planned stop are handed over

What callers saw: a job that was accepted, or taken over, by a call under way as a planned stop began was run by the node that leaves. It never handed it over; the next owner waited until it was held for silent (1 to 1.3 s), and what had been made since the last kept text was made again. A node that operators drain kept such a job to its end.

Found in the trace of: node-5 stopped at 6.364 s and took job-2 at 6.770 s. Stop released the jobs owned at that moment; an acceptance or take-over whose answer came later began the work as usual.

Changed: a job that begins while the node stops is released at once.

TestJobsThatBeginDuringAStopAreHandedOver failed before in both rows (head names the leaving node, two runs begun).

--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -199,6 +199,9 @@
 	if former {
 		owned.readTexts(now)
 	}
+	if j.stopping {
+		owned.release(now)
+	}
 	owned.advance(now)
 }
 
--- a/internal/version/batch/owner_test.go
+++ b/internal/version/batch/owner_test.go
@@ -149,3 +149,36 @@
 		}
 	}
 }
+
+// TestJobsThatBeginDuringAStopAreHandedOver: a job is accepted, or taken over, by a call that was under way when
+// the planned stop began. Its owner would leave without a word, and the next one wait until it is held for silent.
+func TestJobsThatBeginDuringAStopAreHandedOver(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begin func(b *bench)
+	}{
+		{"accepted", func(b *bench) {
+			b.jobs.Stop(b.now)
+			b.accept(newJob("j", 2))
+		}},
+		{"taken over", func(b *bench) {
+			former := newBench("a", b.store)
+			former.accept(newJob("j", 2))
+			share(b)
+			b.now = b.now.Add(takeoverAfter + 2*takeoverSpread)
+			b.jobs.Tick(b.now)
+			b.jobs.Stop(b.now)
+			b.settle()
+		}},
+	} {
+		b := newBench("b", newStore())
+		c.begin(b)
+		b.pass(time.Second)
+		if head := b.jobs.heads["j"]; head == nil || head.Owner != "" || b.jobs.Owned() != 0 {
+			t.Errorf("%s: the head is %v, %d jobs owned", c.name, head, b.jobs.Owned())
+		}
+		if runs := b.takeRuns(); len(runs) > 0 {
+			t.Errorf("%s: %d runs began", c.name, len(runs))
+		}
+	}
+}
