Watches: answers to an unfinished reading confirm nothing

What a replica can't bear it falls over under.

A node whose view is older than 3 s sends one request a second. But ObservedUntil went by the last answer to any call, those to an unfinished reading among them, so the view passed for fresh.

Changed: ObservedUntil goes by the last answer of the watch, and by a whole reading as of its first answer, from which on changes are watched. Whether the store answers at all (readiness) still goes by any answer.

The same elsewhere: the takeover of leases and jobs goes by ObservedUntil too; a job's takeover was guarded by the watch's health, that of a lease by the record's revision, so that a wrong guess cost a call. The age of the list of replicas (metrics, callers' buckets, collection of cold windows) was understated alike and is right now.

TestAnUnfinishedReadingConfirmsNothing failed before at each of its three checks; broke and is clean.

--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -110,7 +110,10 @@
 	size     int
 	relaxed  *rate.Limiter
 	healthy  bool
-	answerAt time.Time
+	// answerAt is when the store last answered any call. heardAt is up to when what is known of the table is
+	// confirmed; readAt is when the first answer of the reading under way came, up to which that confirms once
+	// it is over.
+	answerAt, heardAt, readAt time.Time
 }
 
 // New returns a watch that has read nothing.
@@ -155,21 +158,22 @@
 }
 
 // ObservedUntil returns the time up to which changes would have been heard of: until now
-// while a call waits at the store, else until the last answer. A store that is further away than
+// while a call waits at the store, else until the last change or whole reading. Answers to a
+// reading that is not over confirm nothing. A store that is further away than
 // answerWithin tells of a change that much later: at 600 ms a change that was 300 ms old counted as
 // not made (TestAFarStoreIsHeardOfLater).
 func (w *Watch) ObservedUntil(now time.Time) time.Time {
 	distance := w.distance()
 	if !w.watching || now.Sub(w.sentAt) <= max(answerWithin, distance) {
-		return w.answerAt
+		return w.heardAt
 	}
 	if distance <= answerWithin {
 		return now
 	}
-	if heard := now.Add(-distance); heard.After(w.answerAt) {
+	if heard := now.Add(-distance); heard.After(w.heardAt) {
 		return heard
 	}
-	return w.answerAt
+	return w.heardAt
 }
 
 func (w *Watch) distance() time.Duration {
@@ -196,7 +200,7 @@
 	w.answerAt, w.failing = now, false
 	if w.first {
 		// Changes made while the rest is read are watched from here.
-		w.after, w.first = result.Revision, false
+		w.after, w.first, w.readAt = result.Revision, false, now
 	}
 	w.records = append(w.records, result.Records...)
 	if w.readOn(result) {
@@ -214,7 +218,7 @@
 func (w *Watch) finishList(now time.Time) {
 	records := w.records
 	w.records = nil
-	w.listedAt = now
+	w.listedAt, w.heardAt = now, w.readAt
 	w.size = len(records)
 	w.everRead = true
 	if w.target == Whole && !w.Follows(Whole) {
@@ -284,7 +288,7 @@
 		w.failed(now, result.Status)
 		return
 	}
-	w.answerAt, w.failing = now, false
+	w.answerAt, w.heardAt, w.failing = now, now, false
 	w.setHealthy(now, true)
 	w.after = max(w.after, result.Revision)
 	if len(result.Records) > 0 {
--- a/internal/process/recordwatch/recordwatch_test.go
+++ b/internal/process/recordwatch/recordwatch_test.go
@@ -302,3 +302,50 @@
 		t.Errorf("%d calls a second while changes are of use", got)
 	}
 }
+
+// TestAnUnfinishedReadingConfirmsNothing: a watch broke, and the store answers only some of the calls by which the
+// table is read anew. What is known of the rest is as old as the watch; taken for newer, two owners that hadn't
+// heard of one another each sent a cold replica all that it bears. Seed 702106 of the simulator showed it.
+func TestAnUnfinishedReadingConfirmsNothing(t *testing.T) {
+	queue := &task.Queue{}
+	w := New(Options{Table: "t", Partitions: []string{"p0", "p1"}, Queue: queue, Wait: time.Second,
+		OnList: func(time.Time, []port.Record) {}, OnChange: func(time.Time, []port.Record) {}, OnHealth: func(time.Time, bool) {}})
+	start := time.Unix(1000, 0)
+	now := start
+	answer := func(status port.RecordStatus) {
+		w.Tick(now)
+		switch one := nextCall(queue).(type) {
+		case task.Range:
+			one.Done(now, port.RecordResult{Status: status, Revision: 5})
+		case task.Watch:
+			one.Done(now, port.RecordResult{Status: status, Revision: 5})
+		default:
+			t.Fatalf("no call at %s", now.Sub(start))
+		}
+	}
+	answer(port.RecordDone)
+	now = now.Add(time.Second)
+	answer(port.RecordDone)
+	if got := w.ObservedUntil(now); got != start {
+		t.Errorf("a reading confirms what stood at its first answer, not %s after it", got.Sub(start))
+	}
+	answer(port.RecordDone)
+	heard := now
+	answer(port.RecordUnknown)
+	for range 5 {
+		now = now.Add(time.Second)
+		answer(port.RecordDone)
+		answer(port.RecordUnknown)
+		if got := w.ObservedUntil(now); got != heard {
+			t.Errorf("%s after the watch broke changes count as heard of until %s after it", now.Sub(heard), got.Sub(heard))
+		}
+	}
+	now = now.Add(time.Second)
+	began := now
+	answer(port.RecordDone)
+	now = now.Add(time.Second)
+	answer(port.RecordDone)
+	if got := w.ObservedUntil(now); got != began {
+		t.Errorf("the table that is read whole is known as of its first answer, not %s after it", got.Sub(began))
+	}
+}
--- a/internal/simulation/clustersim/cold_test.go
+++ b/internal/simulation/clustersim/cold_test.go
@@ -36,3 +36,15 @@
 		t.Errorf("%d of %d jobs accepted, %d results", got.Accepted, got.Jobs, got.Results)
 	}
 }
+
+// TestColdReplicasUnderAPartlySilentStore: seeds in which owners of jobs that hadn't heard of one another each sent a
+// cold replica all that it bears: answers to a reading that never ended counted as news of the whole table.
+func TestColdReplicasUnderAPartlySilentStore(t *testing.T) {
+	for _, seed := range []uint64{702106} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			options := Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: Faults, Resting: true}
+			report(t, seed, New(options).Run())
+		})
+	}
+}
