Owners go by their view of one another for as long as newcomers hold back

Cause, from a trace of each arrival on: the store refused all from about 1.5 s on. node-0 and node-2 each accepted a job at 2.006 s, so neither heard of the other's. A node that begins to own takes a lesser part of each replica's bucket for 1.2 s, as others may not have heard of it. But others go by their view until it is 3 s old. At 4.027 s the views were 2.5 s old and the newcomers none any more: 5 and 8 items at once, then 9 more within the second.

Changed: a view of the owners counts for 1.2 s (that of the replicas for 3 s as before, another matter: how late a cold replica is heard of), and a newcomer takes the lesser part for that time, the second over which requests add up, and a margin: 2.4 s. In touch, a node's view of the owners is some 0.1 s old, so that owners notice nothing of the first.

What it costs where replicas turn cold: a newcomer's first burst of 224 items at 48 replicas, 16 of them cold, waited 0 s when the node had been an owner for 2 s and waits up to 0.43 s for its last item now (the table of TestAZoneTurnsColdAtFullLoad, with the fixture as it was). The fixture now lets the node be an owner for longer than it is a newcomer; the table and its bounds are as they were. Deployments without such replicas notice nothing.

TestOwnersThatHaveNotHeardOfOneAnother failed before: a former owner had the whole bucket for 2.3 s, the newcomer from 1.2 s on. TestAReturnedNodeSendsLittleAtFirst goes by the constant that kept its value (returnedFor).

--- a/internal/process/cluster/cold.go
+++ b/internal/process/cluster/cold.go
@@ -19,9 +19,14 @@
 	// requests add up, after its job is over.
 	ownersEvery = 100 * time.Millisecond
 	boundSpan   = time.Second
+	// ownersKnownFor is the age at which a node's view of the owners no longer tells who else sends items.
+	ownersKnownFor = 1200 * time.Millisecond
 	// newcomerFor is how long a node that begins to run items takes a lesser part of the bucket: others
-	// may have begun at the same moment, or not have heard of it.
-	newcomerFor = boundSpan + 200*time.Millisecond
+	// may have begun at the same moment, or send as if alone until their view is ownersKnownFor old, and what
+	// they sent then counts for boundSpan.
+	newcomerFor = ownersKnownFor + boundSpan + 200*time.Millisecond
+	// returnedFor is how long a node whose view is confirmed again sends as one that is out of touch.
+	returnedFor = boundSpan + 200*time.Millisecond
 )
 
 // coldReplicas is what a node knows of replicas that bear little for some seconds after a start.
--- a/internal/process/cluster/cold_test.go
+++ b/internal/process/cluster/cold_test.go
@@ -123,14 +123,18 @@
 	c.put("replicas", id, port.ReplicaRecord{ID: id, Service: "s", Zone: "z", Slots: 8, Versions: map[string]int64{"m": 1}, ColdFor: coldFor})
 }
 
-// own has the node own a job of one item, and read all tables.
+// own has the node own a job of one item, and read all tables. It is no newcomer among the owners then.
 func (c *coldNode) own() {
 	c.do(c.Tick)
 	c.run(time.Second)
+	c.accept()
+	c.run(2 * newcomerFor)
+}
+
+func (c *coldNode) accept() {
 	c.do(func(now time.Time) {
 		c.jobs.Accept(now, &doorstepv1.BatchJob{Id: "j", Model: "m", MinVersion: 1, Host: "h", Path: "/", Items: []*doorstepv1.BatchItem{{Id: "i"}}}, func(time.Time, batch.Outcome) {})
 	})
-	c.run(2 * time.Second)
 }
 
 // coldDecoder reads routes and replicas.
@@ -323,7 +327,7 @@
 			t.Fatal("the node does not come back")
 		}
 	}
-	n.run(newcomerFor / 2)
+	n.run(returnedFor / 2)
 	if got := n.sender(n.Now, one, true).Share; got != 0 {
 		t.Errorf("a node that has just come back has a part: 1 of %d", got)
 	}
@@ -332,3 +336,40 @@
 		t.Error("a node that knows the owners again has a part")
 	}
 }
+
+// TestOwnersThatHaveNotHeardOfOneAnother: one node's view of the owners stands still, and another begins to run
+// items in that moment. No second may hold sends of both at the whole bucket of a replica that one node has alone.
+// Seed 700359 of the simulator showed it, on the code of 44a4391.
+func TestOwnersThatHaveNotHeardOfOneAnother(t *testing.T) {
+	whole := func(n *coldNode) bool { return n.sender(n.Now, n.endpoints.Find("r0"), true).Share == 1 }
+	former := newColdNode()
+	former.own()
+	former.list("r0", 0)
+	former.run(2 * newcomerFor)
+	if !whole(former) {
+		t.Fatal("the only owner has the whole bucket")
+	}
+	former.cut = true
+	cutAt := former.Now
+	for whole(former) && former.Now.Sub(cutAt) < time.Minute {
+		former.Step()
+	}
+	newcomer := newColdNode()
+	newcomer.list("r0", 0)
+	newcomer.run(time.Second)
+	newcomer.accept()
+	for newcomer.jobs.Owned() == 0 {
+		newcomer.Step()
+	}
+	ownsAt := newcomer.Now
+	for !whole(newcomer) && newcomer.Now.Sub(ownsAt) < time.Minute {
+		newcomer.Step()
+	}
+	until, from := former.Now.Sub(cutAt), newcomer.Now.Sub(ownsAt)
+	if from < until+boundSpan {
+		t.Errorf("the former owner has the whole bucket for %s, the newcomer from %s on", until, from)
+	}
+	if from > 5*time.Second {
+		t.Errorf("the newcomer has the whole bucket from %s on", from)
+	}
+}
--- a/internal/process/cluster/senders.go
+++ b/internal/process/cluster/senders.go
@@ -23,18 +23,18 @@
 }
 
 // lonely reports whether this node can't know who else sends: its view is not confirmed, or is so only
-// since less than newcomerFor. When the store comes back, many nodes take jobs over before any has heard of
+// since less than returnedFor. When the store comes back, many nodes take jobs over before any has heard of
 // the others.
 func (n *Node) lonely(now time.Time) bool {
 	if !n.inTouch(now) {
 		n.cold.outOfTouchAt = now
 	}
-	return !n.cold.outOfTouchAt.IsZero() && now.Sub(n.cold.outOfTouchAt) < newcomerFor
+	return !n.cold.outOfTouchAt.IsZero() && now.Sub(n.cold.outOfTouchAt) < returnedFor
 }
 
 // inTouch reports whether this node's view of replicas and of the owners of jobs is confirmed.
 func (n *Node) inTouch(now time.Time) bool {
-	return now.Sub(n.observed(now)) < unconfirmedAfter && n.DiscoveryAge(now) < unconfirmedAfter
+	return now.Sub(n.observed(now)) < ownersKnownFor && n.DiscoveryAge(now) < unconfirmedAfter
 }
 
 // senders counts the nodes that send items to an endpoint, this one included: the owners of open jobs
