--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -119,3 +119,14 @@
 		})
 	}
 }
+
+// TestUsageAfterAnOutage: seeds in which the nodes start while the store is away and some of their clocks have
+// jumped. The first two that told of theirs set the clock of usage.
+func TestUsageAfterAnOutage(t *testing.T) {
+	for _, seed := range []uint64{700015} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			report(t, seed, play(seed, Faults))
+		})
+	}
+}
--- a/internal/version/usage/clock.go
+++ b/internal/version/usage/clock.go
@@ -59,8 +59,10 @@
 	looks     int
 	// confirmed is the most nodes that were seen to agree with the clock.
 	confirmed int
-	// firstLookAt is when the nodes' clocks were first looked at while the clock is not set.
+	// firstLookAt is when the nodes' clocks were first looked at while the clock is not set, told how many
+	// nodes told of theirs at the last of these looks.
 	firstLookAt time.Time
+	told        int
 }
 
 // OnRecord takes the clock's record.
@@ -123,7 +125,7 @@
 func (k *ClockKeeper) review(now time.Time, at time.Duration, offsets []time.Duration) {
 	middle, agreed := majority(offsets)
 	if !k.Clock.known {
-		k.first(now, at, middle, agreed)
+		k.first(now, at, middle, agreed, len(offsets))
 		return
 	}
 	k.confirmed = max(k.confirmed, k.Clock.agreed)
@@ -141,12 +143,15 @@
 	}
 }
 
-// first sets the clock for the first time, once most nodes agree or none did for long.
-func (k *ClockKeeper) first(now time.Time, at, middle time.Duration, agreed int) {
+// first sets the clock for the first time, once most nodes agree, and as many told of their clocks as at the look
+// before: after an outage the first that do may all be off. It waits for neither for long.
+func (k *ClockKeeper) first(now time.Time, at, middle time.Duration, agreed, told int) {
 	if k.firstLookAt.IsZero() {
 		k.firstLookAt = now
 	}
-	if agreed == 0 && now.Sub(k.firstLookAt) < disagreeFor {
+	more := told != k.told
+	k.told = told
+	if (agreed == 0 || more) && now.Sub(k.firstLookAt) < disagreeFor {
 		k.nextAt = now.Add(retryReview)
 		return
 	}
--- a/internal/version/usage/usage_test.go
+++ b/internal/version/usage/usage_test.go
@@ -359,6 +359,31 @@
 	}
 }
 
+// TestClockWaitsForAllThatTell: the store has just come back, and the nodes tell of their clocks one after the other.
+// The first two that did had both jumped (seed 700015 of the simulator): until the clock was set right 25 s later
+// requests were counted into the window before theirs.
+func TestClockWaitsForAllThatTell(t *testing.T) {
+	const exact, jump = time.Duration(1_000_000 * int64(time.Second)), -2 * time.Second
+	b := newBench(1)
+	b.offsets = []time.Duration{exact + jump, exact + jump}
+	clock := b.nodes[0].clock
+	for i := range 16 {
+		if i > 0 && i <= 4 {
+			b.offsets = append(b.offsets, exact)
+		}
+		b.run(settleFor / 12)
+		if clock.known && clock.offset != exact {
+			t.Fatalf("the clock is off by %s once %d nodes have told of theirs", clock.offset-exact, len(b.offsets))
+		}
+		if i == 0 {
+			b.run(settleFor - settleFor/12)
+		}
+	}
+	if !clock.known {
+		t.Error("the clock is not set")
+	}
+}
+
 // TestRefusedReportsAreRepeated until the platform takes them, without hurry.
 func TestRefusedReportsAreRepeated(t *testing.T) {
 	b := newBench(1)
