Orders: a new holder of the lease minds its predecessor's unanswered ones

A node that lost the lease and took it again in one life forgot its orders as well: what the holder knew was cleared with the lease.

Changed: the lease's record also tells of the targets with orders that may be carried out yet, within the set of targets that it has; a new holder goes on telling of them for as long. Until then it orders no replica among them that has taken fewer than two orders or whose life is young (design 0018). A node that loses the lease keeps its unanswered orders. Replicas that don't tell when they started don't start again under their ID, and are ordered as before.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -136,14 +136,16 @@
 		LengthHint: options.Decoder.LengthHint, MostEvents: n.mostEvents, ExpectedTokens: n.expectedTokens, Observed: n.observed,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
 	})
-	n.lease = n.newLease(orderLeaseKey, recordlease.Prompt, false)
+	n.lease = n.newOrderLease()
 	if options.Duties.Usage != nil {
 		n.usage = n.newUsageDuty(*options.Duties.Usage)
 	}
 	if options.Duties.Scaling {
 		n.scaling = n.newScalingDuty()
 	}
-	n.rollout = rollout.New(rollout.Options{Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.workingSet, Demand: n.demand, Longest: n.jobs.Longest})
+	n.rollout = rollout.New(rollout.Options{
+		Self: options.Name, Queue: n.queue, Lease: n.lease, Endpoints: n.workingSet, Demand: n.demand, Longest: n.jobs.Longest, WallClock: n.wallClock,
+	})
 	n.operators = configuration.Empty()
 	n.watchTables()
 	n.queue.Log(event.ProcessStarted, "node", options.Name, "zone", options.Topology.Zone, "incarnation", options.Incarnation)
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -10,6 +10,7 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/version/recordlease"
+	"github.com/doorstep/doorstep/internal/version/rollout"
 	"github.com/doorstep/doorstep/internal/version/scaling"
 	"github.com/doorstep/doorstep/internal/version/usage"
 )
@@ -49,13 +50,29 @@
 
 // newLease returns a lease of this node.
 func (n *Node) newLease(key string, cadence recordlease.Cadence, fenced bool) *recordlease.Lease {
-	lease := recordlease.New(recordlease.Options{
+	return n.addLease(n.leaseOptions(key, cadence, fenced))
+}
+
+// newOrderLease returns the lease by which versions are ordered: orders without an answer may be carried out late.
+func (n *Node) newOrderLease() *recordlease.Lease {
+	options := n.leaseOptions(orderLeaseKey, recordlease.Prompt, false)
+	options.LateFor = rollout.LateFor
+	options.Unanswered = func(now time.Time) []string { return n.rollout.Unanswered(now) }
+	return n.addLease(options)
+}
+
+func (n *Node) leaseOptions(key string, cadence recordlease.Cadence, fenced bool) recordlease.Options {
+	return recordlease.Options{
 		Key:    port.RecordKey{Table: port.SharedTable, Partition: LeasePartition, Key: key},
 		Holder: n.options.Name, Incarnation: n.options.Incarnation, Queue: n.queue, Pause: n.options.OrderPause, Cadence: cadence,
 		Fenced: fenced, StartedAt: n.startedAt,
 		Jitter: n.random.Float64(), Nodes: n.Nodes, Observed: n.observed, Clock: n.clock.bounds,
-	})
-	n.leases[key] = lease
+	}
+}
+
+func (n *Node) addLease(options recordlease.Options) *recordlease.Lease {
+	lease := recordlease.New(options)
+	n.leases[options.Key.Key] = lease
 	return lease
 }
 
--- a/internal/process/recordwatch/recordwatch.go
+++ b/internal/process/recordwatch/recordwatch.go
@@ -107,9 +107,9 @@
 	wholeSince time.Time
 	failing    bool
 	// size is how many records the last whole reading brought.
-	size     int
-	relaxed  *rate.Limiter
-	healthy  bool
+	size    int
+	relaxed *rate.Limiter
+	healthy bool
 	// answerAt is when the store last answered any call. heardAt is up to when what is known of the table is
 	// confirmed; readAt is when the first answer of the reading under way came, up to which that confirms once
 	// it is over.
--- a/internal/version/recordlease/recordlease.go
+++ b/internal/version/recordlease/recordlease.go
@@ -40,6 +40,10 @@
 	// Clock returns the least and the most that the store's steady clock may show; known
 	// is false before its first answer.
 	Clock func(now time.Time) (least, most time.Duration, known bool)
+	// LateFor is how long an act without an answer may still take effect, 0 where none can. Unanswered returns
+	// the targets of this node's acts that may.
+	LateFor    time.Duration
+	Unanswered func(now time.Time) []string
 	// Observed returns the time up to which a change of the record would have been heard
 	// of, zero before the record was read.
 	Observed func(now time.Time) time.Time
@@ -68,6 +72,10 @@
 	// owed are the targets that wait for actAfter, as another holder acted on them.
 	owed     targetSet
 	actAfter time.Time
+	// inherited are the targets on which acts of former holders may take effect until inheritedUntil: this node
+	// doesn't know which acts those are.
+	inherited      targetSet
+	inheritedUntil time.Time
 	// lastAct is this node's last act on any target; acted tells of each, also of the
 	// former holder's.
 	lastAct time.Time
@@ -128,6 +136,11 @@
 	return true
 }
 
+// Inherited reports whether an act of a former holder on a target may still take effect.
+func (l *Lease) Inherited(now time.Time, target string) bool {
+	return now.Before(l.inheritedUntil) && l.inherited.has(bucketOf(target))
+}
+
 // Tick renews, polls or challenges.
 func (l *Lease) Tick(now time.Time) {
 	if l.held && !now.Before(l.validUntil) {
@@ -152,15 +165,33 @@
 }
 
 // told returns the targets that the record has to tell of: those that this node is about to
-// act on, and those acted on so lately that the next holder owes them a pause.
+// act on, those acted on so lately that the next holder owes them a pause, and those on which
+// an act may still take effect.
 func (l *Lease) told(now time.Time) targetSet {
 	set := l.acted.since(now, l.options.Pause+actFor+pauseMargin)
-	for i := range set {
-		set[i] |= l.wanted[i]
+	set.unite(&l.wanted)
+	if now.Before(l.inheritedUntil) {
+		set.unite(&l.inherited)
+	}
+	if l.options.Unanswered != nil {
+		for _, target := range l.options.Unanswered(now) {
+			set.add(bucketOf(target))
+		}
 	}
 	return set
 }
 
+// inherit takes the targets that a former holder's record tells of. A try whose answer is lost may stand, so
+// they are taken before it.
+func (l *Lease) inherit(now time.Time, former *doorstepv1.OrderLease) {
+	if !now.Before(l.inheritedUntil) {
+		l.inherited = targetSet{}
+	}
+	targets := targetsOf(former)
+	l.inherited.unite(&targets)
+	l.inheritedUntil = now.Add(l.options.LateFor)
+}
+
 func (l *Lease) lose(reason string) {
 	l.held = false
 	l.declared = targetSet{}
@@ -222,6 +253,9 @@
 
 func (l *Lease) acquire(now time.Time) {
 	former := l.row
+	if former.Ordering && !l.own() {
+		l.inherit(now, former)
+	}
 	next := &doorstepv1.OrderLease{Holder: l.options.Holder, Incarnation: l.options.Incarnation, Beat: former.Beat + 1, ActsFromMs: former.ActsFromMs}
 	if former.Ordering && !l.own() {
 		// The pause is owed from the try on: if its answer is lost, the record names this
--- a/internal/version/recordlease/recordlease_test.go
+++ b/internal/version/recordlease/recordlease_test.go
@@ -238,3 +238,40 @@
 		}
 	})
 }
+
+// TestUnansweredActsAreToldOn: a holder's act without an answer may take effect for seconds. The next holders know the
+// targets of such acts until then, also the one after the next, and of no others.
+func TestUnansweredActsAreToldOn(t *testing.T) {
+	const lateFor = 10 * time.Second
+	b := newBench(3)
+	for i, lease := range b.leases {
+		lease.options.LateFor = lateFor
+		if i == 0 {
+			lease.options.Unanswered = func(time.Time) []string { return []string{target} }
+		}
+	}
+	hold := func(i int) {
+		for other := range b.leases {
+			b.cut[other] = other != i
+		}
+		for end := b.now.Add(time.Minute); !b.leases[i].Held(b.now) && b.now.Before(end); {
+			b.run(50 * time.Millisecond)
+		}
+		b.run(time.Second)
+	}
+	hold(0)
+	b.run(lateFor)
+	for _, next := range []int{1, 2} {
+		hold(next)
+		if !b.leases[next].Inherited(b.now, target) {
+			t.Errorf("holder %d does not know of the act without an answer", next)
+		}
+		if b.leases[next].Inherited(b.now, other) {
+			t.Errorf("holder %d holds a target that nobody acted on for one", next)
+		}
+	}
+	b.run(lateFor)
+	if b.leases[2].Inherited(b.now, target) {
+		t.Error("an act that can't take effect any more is told of")
+	}
+}
--- a/internal/version/recordlease/targets.go
+++ b/internal/version/recordlease/targets.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// unite adds what another set holds.
+func (s *targetSet) unite(other *targetSet) {
+	for i := range s {
+		s[i] |= other[i]
+	}
+}
+
 // targetsOf returns the targets that a record's holder may have acted on of late. A record
 // that says that it acts, and not on what, was written by a node that kept no targets: it may
 // have acted on any.
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -45,6 +45,8 @@
 	Demand func(now time.Time) map[string]int64
 	// Longest returns how many events the models' longest texts have, as far as is known.
 	Longest func(now time.Time) map[string]int64
+	// WallClock returns this node's time of day; nil where it shows the same as the times given.
+	WallClock func(now time.Time) time.Time
 }
 
 // Rollout is the machine; it belongs to the node's loop.
@@ -87,7 +89,7 @@
 // Tick orders what is due, if this node holds the lease.
 func (r *Rollout) Tick(now time.Time) {
 	if !r.options.Lease.Held(now) {
-		clear(r.replicas)
+		r.keepUnanswered(now)
 		return
 	}
 	if now.Before(r.nextAt) {
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -42,14 +42,9 @@
 }
 
 func newBench(replicas int) *bench {
-	b := &bench{now: time.Unix(1000, 0), queue: &task.Queue{}, generators: map[string]*model.Generator{}}
+	b := &bench{now: time.Unix(1000, 0), generators: map[string]*model.Generator{}}
 	b.records = model.NewRecords(b.now, model.RecordsOptions{})
-	b.lease = recordlease.New(recordlease.Options{Key: port.RecordKey{Table: "leases", Key: "l"}, Holder: "a", Incarnation: 1, Queue: b.queue, Pause: time.Second,
-		Observed: func(now time.Time) time.Time { return now },
-		Clock:    func(now time.Time) (least, most time.Duration, known bool) { return 0, 0, true }})
-	b.rollout = New(Options{Self: "a", Queue: b.queue, Lease: b.lease, Endpoints: func(time.Time, []string) []*endpoint.Endpoint { return b.endpoints },
-		Demand:  func(time.Time) map[string]int64 { return b.demand },
-		Longest: func(time.Time) map[string]int64 { return b.longest }})
+	b.start("a", 1)
 	for i := range replicas {
 		id := fmt.Sprintf("r%d", i)
 		b.generators[id] = &model.Generator{ID: id, Slots: 4, LoadFor: 900 * time.Millisecond, Versions: map[string]int64{"m": 1}}
@@ -58,6 +53,25 @@
 	return b
 }
 
+// start has a node begin a life; what the one before knew is gone.
+func (b *bench) start(name string, incarnation uint64) {
+	b.queue = &task.Queue{}
+	b.lease = recordlease.New(recordlease.Options{Key: port.RecordKey{Table: "leases", Key: "l"}, Holder: name, Incarnation: incarnation, Queue: b.queue, Pause: time.Second,
+		Observed: func(now time.Time) time.Time { return now },
+		Clock:    func(now time.Time) (least, most time.Duration, known bool) { return 0, 0, true },
+		LateFor:  LateFor, Unanswered: func(now time.Time) []string { return b.rollout.Unanswered(now) }})
+	b.rollout = New(Options{Self: name, Queue: b.queue, Lease: b.lease, Endpoints: func(time.Time, []string) []*endpoint.Endpoint { return b.endpoints },
+		Demand:  func(time.Time) map[string]int64 { return b.demand },
+		Longest: func(time.Time) map[string]int64 { return b.longest }})
+}
+
+// readLease has the lease read its record.
+func (b *bench) readLease() {
+	for _, record := range b.records.Range(b.now, port.RecordRange{Table: "leases"}).Records {
+		b.lease.OnRecord(b.now, record)
+	}
+}
+
 func (b *bench) run(length time.Duration) {
 	for end := b.now.Add(length); b.now.Before(end); b.now = b.now.Add(50 * time.Millisecond) {
 		asked := b.asked
@@ -355,7 +369,7 @@
 // TestNewerVersionsWaitForAnUnansweredFirstOrder: a replica answers until its first order is sent. That one may be
 // carried out whenever the replica starts again, so no newer version is loaded until it can't be any more.
 func TestNewerVersionsWaitForAnUnansweredFirstOrder(t *testing.T) {
-	for _, after := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, lateFor - time.Second} {
+	for _, after := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, LateFor - time.Second} {
 		b := newBench(1)
 		b.run(time.Second)
 		b.late, b.answersProbes = true, true
@@ -373,9 +387,71 @@
 		if got := b.generators["r0"].Version(b.now, "m"); len(b.queued) == 0 || got < before {
 			t.Errorf("%d late orders %s after their sending, version %d and then %d", len(b.queued), after, before, got)
 		}
-		b.run(2 * lateFor)
+		b.run(2 * LateFor)
 		if got := b.generators["r0"].Version(b.now, "m"); got != 5 {
 			t.Errorf("late orders after %s: version %d in the end, 5 was named", after, got)
 		}
 	}
 }
+
+// TestAFormerHoldersUnansweredOrders: a holder's order has no answer, and another holder, or a later life of that
+// one, doesn't know of it. The replica must not go back when it starts again and the order is carried out, whether
+// it had taken orders before or starts again before the new holder acts. Seeds 510078 and 510214 of the simulator
+// showed it.
+func TestAFormerHoldersUnansweredOrders(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		holder      string
+		incarnation uint64
+		// taken is how many orders the replica took before the one without an answer.
+		taken int64
+		// restartsEarly is set where the replica starts again before the new holder acts, and then comes by the
+		// count that the order expects.
+		restartsEarly bool
+	}{
+		{"another node", "b", 1, 0, false},
+		{"another node, a later order", "b", 1, 2, false},
+		{"another node, a replica that starts again", "b", 1, 1, true},
+		{"a later life of the node", "a", 2, 0, false},
+		{"a later life of the node, a replica that starts again", "a", 2, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(1)
+			b.endpoints[0].StartedAt = b.now.Add(-time.Hour)
+			b.generators["r0"].StartedAt, b.generators["r0"].Unfenced = b.endpoints[0].StartedAt, true
+			b.run(time.Second)
+			version := int64(3)
+			for range c.taken {
+				b.rollout.Name(port.VersionTarget{Model: "m", Version: version})
+				b.run(3 * time.Second)
+				version += 2
+			}
+			b.late, b.answersProbes = true, true
+			b.rollout.Name(port.VersionTarget{Model: "m", Version: version})
+			b.run(time.Second)
+			b.late = false
+			b.start(c.holder, c.incarnation)
+			b.readLease()
+			if c.restartsEarly {
+				b.restart(0)
+			}
+			b.rollout.Name(port.VersionTarget{Model: "m", Version: version + 2})
+			b.run(5 * time.Second)
+			if !c.restartsEarly {
+				b.restart(0)
+			}
+			before := b.generators["r0"].Version(b.now, "m")
+			for _, late := range b.queued {
+				late()
+			}
+			b.run(1500 * time.Millisecond)
+			if got := b.generators["r0"].Version(b.now, "m"); len(b.queued) == 0 || got < before {
+				t.Errorf("%d late orders, version %d and then %d", len(b.queued), before, got)
+			}
+			b.run(3 * LateFor)
+			if got := b.generators["r0"].Version(b.now, "m"); got != version+2 {
+				t.Errorf("version %d in the end, %d was named", got, version+2)
+			}
+		})
+	}
+}
--- a/internal/version/rollout/state.go
+++ b/internal/version/rollout/state.go
@@ -57,3 +57,43 @@
 	state := r.known(next.endpoint)
 	return state != nil && state.ordered && state.model == next.model && state.version == next.version
 }
+
+// wallClocksDiffer is by how much the wall clocks of a node and a replica may differ for the age of the replica's
+// life to be told.
+const wallClocksDiffer = 5 * time.Second
+
+// barredByFormer reports whether an order might make way for one of a former holder's, of which this node knows
+// nothing but that there may be some. A replica that never starts again under its ID is safe, and so is one that has
+// taken two orders in a life in which all of these were sent: an unanswered first order has no other behind it.
+func (r *Rollout) barredByFormer(now time.Time, state *replicaState) bool {
+	startedAt := state.endpoint.StartedAt
+	if startedAt.IsZero() || !r.options.Lease.Inherited(now, state.endpoint.ID) {
+		return false
+	}
+	if r.options.WallClock != nil {
+		now = r.options.WallClock(now)
+	}
+	return state.report.Sequence < 2 || now.Sub(startedAt) < LateFor+wallClocksDiffer
+}
+
+// keepUnanswered forgets all that the former holder of the lease knew but the orders without an answer.
+func (r *Rollout) keepUnanswered(now time.Time) {
+	for id, state := range r.replicas {
+		if !state.unanswered.any(now) {
+			delete(r.replicas, id)
+			continue
+		}
+		r.replicas[id] = &replicaState{endpoint: state.endpoint, unanswered: state.unanswered}
+	}
+}
+
+// Unanswered returns the replicas with orders of this node that may be carried out yet.
+func (r *Rollout) Unanswered(now time.Time) []string {
+	var list []string
+	for id, state := range r.replicas {
+		if state.unanswered.any(now) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
--- a/internal/version/rollout/unanswered.go
+++ b/internal/version/rollout/unanswered.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// lateFor is how long an order without an answer may still be carried out, from its sending on: the
+// LateFor is how long an order without an answer may still be carried out, from its sending on: the
 // platform's pages say seconds.
-const lateFor = 10 * time.Second
+const LateFor = 10 * time.Second
 
 // unansweredOrder is an order that may be carried out once the replica has taken so many others.
 type unansweredOrder struct {
@@ -23,7 +23,7 @@
 type unansweredOrders []unansweredOrder
 
 func (u *unansweredOrders) add(now time.Time, model string, version, sequence int64) {
-	*u = append(u.left(now), unansweredOrder{model: model, version: version, sequence: sequence, until: now.Add(lateFor)})
+	*u = append(u.left(now), unansweredOrder{model: model, version: version, sequence: sequence, until: now.Add(LateFor)})
 }
 
 // answered drops an order that will not be carried out any more, or was.
