--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -141,8 +141,8 @@
 	c.failed[id]++
 }
 
-// Ordered takes a version order that a replica took.
-func (c *Checker) Ordered(order port.OrderVersion) {
+// Ordered takes a version order that a replica took, and the version that it had before.
+func (c *Checker) Ordered(order port.OrderVersion, before int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts["orders"]++
@@ -150,6 +150,9 @@
 		c.violate("fence %d was used by %s and by %s", order.Fence, holder, order.Holder)
 	}
 	c.fences[order.Fence] = order.Holder
+	if order.Version < before {
+		c.violate("%s goes back from version %d to %d by an order of %s at count %d", order.Replica, before, order.Version, order.Holder, order.ExpectedSequence)
+	}
 }
 
 // AtMostOnce notes a request that is unsafe to repeat, before it is sent.
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -49,4 +49,5 @@
 prove 20-home-regions homes-kept 1..10 homes-change
 prove 21-sound-owner sound-owner-kept 1..60 region-slow
 prove 22-owners-follow-replicas drains-respected 1..20 replica-drains --resting
+prove 23-first-orders versions-rise 500001..500200 replica-restart,orders-late
 exit $failed
