Rollout: the guards of orders are called blocks, and say what they block

Names and comments alone, from a reading of the whole change: bar and barredByFormer told a reader nothing.

--- a/internal/version/rollout/order.go
+++ b/internal/version/rollout/order.go
@@ -70,7 +70,7 @@
 		state.reportAt = time.Time{}
 		return
 	}
-	if state.unanswered.bar(now, one.model, one.version, state.report.Sequence) || r.barredByFormer(now, state) {
+	if state.unanswered.blocks(now, one.model, one.version, state.report.Sequence) || r.blockedByFormer(now, state) {
 		state.notAt = now.Add(failPause)
 		return
 	}
--- a/internal/version/rollout/state.go
+++ b/internal/version/rollout/state.go
@@ -62,10 +62,11 @@
 // life to be told.
 const wallClocksDiffer = 5 * time.Second
 
-// barredByFormer reports whether an order might make way for one of a former holder's, of which this node knows
-// nothing but that there may be some. A replica that never starts again under its ID is safe, and so is one that has
-// taken two orders in a life in which all of these were sent: an unanswered first order has no other behind it.
-func (r *Rollout) barredByFormer(now time.Time, state *replicaState) bool {
+// blockedByFormer reports whether an order must wait as an unanswered one of a former holder might be carried out
+// behind it. This node knows the replicas that such orders were sent to, not the orders. A replica that never starts
+// again under its ID is safe. So is one that has taken two orders in a life that is older than any unanswered order:
+// behind an unanswered first order the former holder gave no other.
+func (r *Rollout) blockedByFormer(now time.Time, state *replicaState) bool {
 	startedAt := state.endpoint.StartedAt
 	if startedAt.IsZero() || !r.options.Lease.Inherited(now, state.endpoint.ID) {
 		return false
--- a/internal/version/rollout/unanswered.go
+++ b/internal/version/rollout/unanswered.go
@@ -44,13 +44,13 @@
 	return len(*u) > 0
 }
 
-// bar reports whether an order must not be given at a count, as one without an answer might be carried out
-// behind it and take the replica back:
+// blocks reports whether an order must not be given at a count, as an unanswered one might be carried out after it
+// and take the replica back:
 //
-//   - right behind it, where the replica's earlier life was sent one at the next count;
-//   - at the beginning of the replica's next life, where one is left that expects no order before it. Until that
-//     can't be carried out any more, the replica gets the same order and no other.
-func (u *unansweredOrders) bar(now time.Time, model string, version, sequence int64) bool {
+//   - an order that a former life was sent at the next count would be valid right after it;
+//   - an unanswered first order is valid again at the beginning of the replica's next life. Until it can't be
+//     carried out any more, the replica gets that same order and no other.
+func (u *unansweredOrders) blocks(now time.Time, model string, version, sequence int64) bool {
 	*u = u.left(now)
 	return slices.ContainsFunc(*u, func(one unansweredOrder) bool {
 		return one.sequence == sequence+1 || one.sequence == 0 && (one.model != model || one.version != version)
