--- a/internal/simulation/clustersim/restart_test.go
+++ b/internal/simulation/clustersim/restart_test.go
@@ -28,10 +28,21 @@
 // taken; the replica started again, came by that count once more, and the first order was carried out
 // (TestAnOrderRepeatedBeforeARestart plays it alone).
 func TestOrdersOfFormerLives(t *testing.T) {
-	for _, seed := range []uint64{111, 120, 189, 194} {
+	for _, seed := range []uint64{111, 120, 189, 194, 500179} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
 			playRestarts(t, seed, "replica-restart,orders-late", false)
 		})
 	}
 }
+
+// TestOrdersOfFormerHolders: seeds in which the holder of the lease changed while an order had no answer. The next
+// one knew nothing of it, and it took a replica back that had started again.
+func TestOrdersOfFormerHolders(t *testing.T) {
+	for _, seed := range []uint64{510078, 510214} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			playRestarts(t, seed, "replica-restart,orders-late,node-kill,holder-freeze,planned-stop,kill-all", false)
+		})
+	}
+}
