Log and count items that wait for a replica for seconds

An item that waits left no log line, so the logs could not tell a quarantined item from one that waits for a replica of its own or avoids the only one left.

Event 921 names the overdue items of a job and the reason, at most once in 3 s a job and reason; doorstep_batch_items_overdue counts them by reason, and explain reports the reason if the item was not completed.

TestOverdueItemsAreLoggedWithTheirReason covers four reasons; no decision changes.

--- a/internal/command/operator/explain.go
+++ b/internal/command/operator/explain.go
@@ -47,7 +47,7 @@
 
 // mentions reports whether the line refers to the request, item or job with the ID.
 func (l *logLine) mentions(id string) bool {
-	return l.text("request") == id || l.text("item") == id || l.text("job") == id
+	return l.text("request") == id || l.text("item") == id || l.text("job") == id || slices.Contains(strings.Fields(l.text("item_ids")), id)
 }
 
 // explainCommand reports the outcome of a request, an item or a job from saved logs.
@@ -237,6 +237,8 @@
 		case event.ItemCompleted:
 			return fmt.Sprintf("the item was completed at replica %s, %s ms after its first run, in %s runs with %s interruptions and %s moves; %s µs per event%s",
 				line.text("replica"), line.text("since_ms"), line.text("runs"), line.text("interruptions"), line.text("moves"), line.text("pace_us"), scoringCause(own))
+		case event.ItemsOverdue:
+			return fmt.Sprintf("the item was not completed: it waited for a replica at %.3f s, for up to %s ms: %s", line.clockMs/1000, line.text("waited_ms"), line.text("reason"))
 		}
 	}
 	return "no outcome in these logs; last event: " + last.message
--- a/internal/command/operator/explain_test.go
+++ b/internal/command/operator/explain_test.go
@@ -17,11 +17,12 @@
 {"@message":"batch job refused","@module":"doorstepd.node-c","event":901,"clock_ms":5000,"job":"j1","outcome":1}
 {"@message":"item terminated","@module":"doorstepd.node-c","event":911,"clock_ms":9000,"job":"j2","item":"i1","reason":"failed at every attempt","failures":3}
 {"@message":"item completed","@module":"doorstepd.node-c","event":915,"clock_ms":9500,"job":"j2","item":"i2","replica":"r1","since_ms":7000,"runs":3,"interruptions":1,"moves":1,"pace_us":50000}
+{"@level":"warn","@message":"items overdue","@module":"doorstepd.node-c","event":921,"clock_ms":9600,"job":"j3","reason":"isolated","count":2,"waited_ms":3100,"item_ids":"i3 i4"}
 `
 
 func TestExplain(t *testing.T) {
 	lines, err := readLog(strings.NewReader(savedLogs))
-	if err != nil || len(lines) != 9 {
+	if err != nil || len(lines) != 10 {
 		t.Fatalf("%d lines, %v", len(lines), err)
 	}
 	for _, c := range []struct {
@@ -34,6 +35,7 @@
 		{"j2", []string{"not accepted"}, ""},
 		{"i1", []string{"given up: failed at every attempt", "3 failed runs"}, ""},
 		{"i2", []string{"completed at replica r1", "7000 ms", "1 moves"}, ""},
+		{"i4", []string{"not completed", "up to 3100 ms: isolated"}, ""},
 	} {
 		cause := describeCause(buildTimeline(lines, c.id), c.id)
 		for _, part := range c.want {
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -92,6 +92,7 @@
 		return float64(len(a.node.EvacuatedZones()))
 	})
 	m.registerWithheld(a)
+	m.registerOverdue(a)
 	gauge("doorstep_ready", "1 while the node wants new connections.", func() float64 {
 		if a.node.Ready(a.clock.Now()) {
 			return 1
@@ -137,6 +138,21 @@
 		Help: "Connections opened to replicas."}, func() float64 { return float64(a.upstream.Opened()) }))
 }
 
+// registerOverdue registers the number of items that have been waiting for a replica for too long, by reason.
+func (m *metrics) registerOverdue(a *Agent) {
+	for _, reason := range batch.WaitReasons {
+		options := prometheus.GaugeOpts{
+			Name: "doorstep_batch_items_overdue", Help: "Items that have been waiting for a replica for seconds, by the reason.",
+			ConstLabels: prometheus.Labels{"reason": string(reason)},
+		}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return float64(a.node.Jobs().OverdueItems(a.clock.Now())[reason])
+		}))
+	}
+}
+
 // registerWithheld registers the number of replicas that get no new work, by reason.
 func (m *metrics) registerWithheld(a *Agent) {
 	for _, reason := range []endpoint.UnschedulableReason{endpoint.UnschedulableLeaving, endpoint.UnschedulableDrained, endpoint.UnschedulableEvacuated} {
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -71,6 +71,8 @@
 	finishedAt time.Time
 	// waitingSince is when the item last started to wait for a replica.
 	waitingSince time.Time
+	// waitReason is the reason for which a waiting item was last not started.
+	waitReason WaitReason
 	// startedAt is when the first run was started, runs counts the runs.
 	startedAt time.Time
 	runs      int
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -73,6 +73,8 @@
 	// checkpointing is set while a checkpoint is being written.
 	checkpointing  bool
 	checkpointedAt time.Time
+	// overdueLoggedAt is when overdue items were last logged.
+	overdueLoggedAt time.Time
 	// nextCheckpointItem is the first item considered for the next checkpoint.
 	nextCheckpointItem int
 }
@@ -246,7 +248,10 @@
 	if !o.releasing && now.Sub(o.writtenAt) < maxUnconfirmed && !now.Before(o.startAfter) {
 		o.startItems(now)
 		o.scoreItems(now)
+	} else {
+		o.waitForAll(WaitNotOwned)
 	}
+	o.logOverdue(now)
 	o.writeHead(now)
 	if !o.checkpointing && !o.releasing && now.Sub(o.checkpointedAt) >= checkpointInterval {
 		o.checkpointing = true
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -24,15 +24,17 @@
 func (o *ownedJob) startItems(now time.Time) {
 	route := o.route()
 	if route == nil {
+		o.waitForAll(WaitNoRoute)
 		return
 	}
 	noCapacity := false
 	for _, i := range o.startOrder {
 		it := &o.items[i]
-		if it.state != itemWaiting || it.failureUnrecorded || now.Before(it.notBefore) || !o.permitted(now, it.request, &it.runTrial) {
+		if it.state != itemWaiting || !o.mayStart(now, it) {
 			continue
 		}
 		if !o.startRun(now, i, route) {
+			it.waitReason = o.placementReason(it)
 			if o.runsIsolated(it) {
 				continue
 			}
@@ -46,6 +48,23 @@
 	}
 }
 
+// mayStart reports whether an item may be placed, and sets its wait reason if not.
+func (o *ownedJob) mayStart(now time.Time, it *item) bool {
+	switch {
+	case it.failureUnrecorded:
+		it.waitReason = WaitUnrecorded
+	case now.Before(it.notBefore):
+		it.waitReason = WaitBackoff
+	case !o.permitted(now, it.request, &it.runTrial):
+		it.waitReason = WaitQuarantined
+	default:
+		// Items behind one that found no capacity are not tried.
+		it.waitReason = WaitNoReplica
+		return true
+	}
+	return false
+}
+
 func (o *ownedJob) startRun(now time.Time, index int, route *port.Route) bool {
 	it, content := &o.items[index], o.job.Items[index]
 	tokens := o.jobs.options.ExpectedTokens(route, it.header, len(it.events))
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -42,6 +42,8 @@
 	delayed   []task.Timer
 	// replicas replaces replica unless nil.
 	replicas *replicaSet
+	// logged holds all log events.
+	logged []task.Log
 }
 
 var epoch = time.Unix(1000, 0)
@@ -106,6 +108,8 @@
 				n.runs = append(n.runs, t)
 			case task.ScoringCall:
 				n.calls = append(n.calls, t)
+			case task.Log:
+				n.logged = append(n.logged, t)
 			case task.StopRun:
 				n.stopped[t.ID] = true
 			case task.Timer:
