--- a/internal/command/simulator/simulator.go
+++ b/internal/command/simulator/simulator.go
@@ -53,6 +53,7 @@
 		&cli.BoolFlag{Name: "unfenced", Usage: "disable fence checks in replicas"},
 		&cli.BoolFlag{Name: "resting", Usage: "let nodes watch the list of replicas only while they need it"},
 		&cli.DurationFlag{Name: "far-region", Usage: "additional one-way latency between the two regions"},
+		&cli.DurationFlag{Name: "result-deadline", Usage: "how long trainers wait for the results of a job", Value: 7 * time.Second},
 		&cli.DurationFlag{Name: "length", Usage: "duration of fault injection, in virtual time", Value: 40 * time.Second},
 	}
 }
@@ -66,6 +67,7 @@
 	return clustersim.Options{
 		Nodes: c.Int("nodes"), Replicas: c.Int("replicas"), Length: c.Duration("length"), Faults: faults,
 		Unfenced: c.Bool("unfenced"), RegionDelay: c.Duration("far-region"), OnDemandReplicaLists: c.Bool("resting"),
+		ResultDeadline: c.Duration("result-deadline"),
 	}, nil
 }
 
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -84,6 +84,7 @@
 	poison         map[string]*poisonRecord
 	evacuations    evacuations
 	allowedRegions allowedRegionsHistory
+	placement      placementChecker
 	incarnations   int
 	resultCount    int
 	orderCount     int
@@ -92,7 +93,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}, evacuations: newEvacuations(), allowedRegions: newAllowedRegionsHistory()}
+	return &checker{jobs: map[string]*jobRecord{}, itemJobs: map[string]*jobRecord{}, orders: map[string]orderRecord{}, poison: map[string]*poisonRecord{}, evacuations: newEvacuations(), allowedRegions: newAllowedRegionsHistory(), placement: newPlacementChecker()}
 }
 
 func (c *checker) reportViolation(w *World, invariant, format string, arguments ...any) {
--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -1,6 +1,7 @@
 package clustersim
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -125,7 +126,36 @@
 	for _, seed := range []uint64{700015} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
-			reportViolations(t, seed, simulate(seed, Faults))
+			reportViolations(t, seed, simulate(seed, faultsWithout("replica-crash-burst")))
 		})
 	}
 }
+
+// faultsWithout returns all faults but one, for seeds that were found before that fault was added.
+func faultsWithout(name string) []Fault {
+	return slices.DeleteFunc(slices.Clone(Faults), func(fault Fault) bool { return fault.Name == name })
+}
+
+// patientDeadline is a result deadline that lets items wait long enough for the check of their placement.
+const patientDeadline = 13 * time.Second
+
+// TestItemsArePlaced guards against open items that no replica gets for seconds after a burst of crashes, or with a
+// single replica, although replicas have room.
+func TestItemsArePlaced(t *testing.T) {
+	for _, c := range []struct {
+		faults   string
+		replicas int
+	}{{"replica-crash-burst", 5}, {"replica-crash-burst", 2}, {"none", 1}, {"replica-breaks", 1}} {
+		faults, err := ParseFaults(c.faults)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for seed := range uint64(testSeeds) {
+			t.Run("", func(t *testing.T) {
+				t.Parallel()
+				options := Options{Seed: seed, Nodes: 6, Replicas: c.replicas, Length: testLength, Faults: faults, ResultDeadline: patientDeadline}
+				reportViolations(t, seed, New(options).Run())
+			})
+		}
+	}
+}
--- a/internal/simulation/clustersim/cold_test.go
+++ b/internal/simulation/clustersim/cold_test.go
@@ -41,7 +41,7 @@
 	for _, seed := range []uint64{702106} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
-			options := Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: Faults, OnDemandReplicaLists: true}
+			options := Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: faultsWithout("replica-crash-burst"), OnDemandReplicaLists: true}
 			reportViolations(t, seed, New(options).Run())
 		})
 	}
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,6 +56,7 @@
 	{"scorer-drains", "a scorer drains and exits", 12 * time.Second, time.Second, func(w *World, _ time.Duration) { w.randomScorer().drain() }},
 	{"zone-evacuated", "the platform evacuates a zone for a while", 12 * time.Second, 8 * time.Second, evacuateZone},
 	{"replica-restart", "a replica restarts under its ID, once within 6 s or twice within a heartbeat", 8 * time.Second, 6 * time.Second, restartReplica},
+	{"replica-crash-burst", "half of the replicas crash and are replaced, several times within two seconds", 16 * time.Second, 2 * time.Second, crashReplicasRepeatedly},
 }
 
 // ParseFaults parses a comma-separated list of names, "all" or "none".
@@ -92,6 +94,7 @@
 				w.faultCounts[fault.Name]++
 				duration := fault.maxDuration/4 + time.Duration(w.random.Int64N(int64(fault.maxDuration)*3/4))
 				w.trace("fault %s for %s", fault.Name, duration)
+				w.check.placement.recordFault(w.Now.Add(duration))
 				fault.inject(w, duration)
 				next()
 			})
@@ -201,3 +204,20 @@
 		}
 	})
 }
+
+// crashBurstInterval is the time between two rounds of a burst of crashes, after which crashed replicas are
+// replaced.
+const crashBurstInterval = 400 * time.Millisecond
+
+// crashReplicasRepeatedly crashes each replica with a probability of one half, in several rounds.
+func crashReplicasRepeatedly(w *World, duration time.Duration) {
+	for at := time.Duration(0); at < duration; at += crashBurstInterval {
+		w.After(at, func() {
+			for _, r := range slices.Clone(w.replicas) {
+				if r.up && w.random.IntN(2) == 0 {
+					r.crash(crashBurstInterval)
+				}
+			}
+		})
+	}
+}
--- a/internal/simulation/clustersim/region.go
+++ b/internal/simulation/clustersim/region.go
@@ -64,6 +64,7 @@
 // of the far region.
 func (l *link) apply(duration time.Duration, change, revert func()) {
 	change()
+	l.world.check.placement.recordFault(l.world.Now.Add(duration))
 	l.world.After(duration, func() {
 		revert()
 		for _, n := range l.world.nodes {
--- a/internal/simulation/clustersim/region_test.go
+++ b/internal/simulation/clustersim/region_test.go
@@ -93,7 +93,7 @@
 	for _, seed := range []uint64{700169} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
-			reportViolations(t, seed, simulate(seed, Faults))
+			reportViolations(t, seed, simulate(seed, faultsWithout("replica-crash-burst")))
 		})
 	}
 }
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -201,6 +201,7 @@
 // start starts the run, or fails it if the item's ID has a prefix that says so.
 func (run *itemRun) start() {
 	w, r := run.replica.world, run.replica
+	run.replica.world.check.placement.item(run.task.Item).settled = settlesOnStart(run.task.Item)
 	switch {
 	case strings.HasPrefix(run.task.Item, impossibleItem):
 		run.end(task.RunImpossible)
@@ -213,6 +214,7 @@
 		return
 	}
 	r.runs = append(r.runs, run)
+	w.check.placement.recordStart(run.task.Item)
 	if isPoison(run.task.Item) {
 		w.check.checkPoisonRun(w, run)
 		w.After(r.Pace, func() { r.crash(poisonRestartDelay) })
@@ -282,10 +284,15 @@
 		return
 	}
 	run.ended = true
+	if outcome == task.RunCompleted {
+		run.node.world.check.placement.item(run.task.Item).settled = true
+	}
 	if r := run.replica; r != nil {
 		if at := slices.Index(r.runs, run); at >= 0 {
 			r.runs = slices.Delete(r.runs, at, at+1)
 			r.End()
+			n := run.node
+			n.world.check.placement.recordEnd(n.world.Now, run.task.Item)
 		}
 	}
 	n, incarnation := run.node, run.incarnation
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -12,11 +12,11 @@
 
 const (
 	host = "host.example"
-	// stepInterval is the interval between a trainer's jobs, resultDeadline how long it waits for
-	// results.
-	stepInterval   = 3 * time.Second
-	resultDeadline = 7 * time.Second
-	readInterval   = 400 * time.Millisecond
+	// stepInterval is the interval between a trainer's jobs, defaultResultDeadline how long it waits
+	// for results.
+	stepInterval          = 3 * time.Second
+	defaultResultDeadline = 7 * time.Second
+	readInterval          = 400 * time.Millisecond
 	itemsPerJob    = 24
 	itemsPerGroup  = 4
 	// desiredGroups is the number of complete groups that a trainer waits for.
@@ -57,7 +57,7 @@
 	for _, name := range models {
 		o.table.Routes = append(o.table.Routes, port.Route{
 			Name: name, Host: host, PathPrefix: "/" + name + "/", Kind: port.RouteBatch, MaxAttempts: maxAttempts, MaxQueue: maxQueue,
-			ResultDeadline: resultDeadline, Backends: []port.Backend{{Service: generatorName, Weight: 1}}, SingleVersion: name == singleVersionModel,
+			ResultDeadline: w.options.resultDeadline(), Backends: []port.Backend{{Service: generatorName, Weight: 1}}, SingleVersion: name == singleVersionModel,
 		})
 	}
 	o.table.Routes = append(o.table.Routes, port.Route{
@@ -188,7 +188,7 @@
 				record.pendingSubmissions--
 				record.possiblyAccepted = true
 				record.acceptedAt = w.Now
-				w.After(readInterval, func() { t.pollResults(record, w.Now.Add(resultDeadline)) })
+				w.After(readInterval, func() { t.pollResults(record, w.Now.Add(w.options.resultDeadline())) })
 			case batch.Indeterminate:
 				record.possiblyAccepted = true
 				retry()
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -5,6 +5,7 @@
 package clustersim
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -49,6 +50,9 @@
 	// OnDemandReplicaLists lets nodes follow the list of replicas only on demand, as in a large
 	// deployment, and gives every second node a small processor share.
 	OnDemandReplicaLists bool
+	// ResultDeadline is how long trainers wait for the results of a job, 0 for the default of 7 s. Items are
+	// abandoned after 15 s.
+	ResultDeadline time.Duration
 	// Log, if not nil, receives the log entries of nodes with the record store's clock, which starts at
 	// zero.
 	Log func(node string, clock time.Duration, number int, fields []any)
@@ -64,6 +68,9 @@
 	return 0
 }
 
+// resultDeadline returns how long trainers wait for the results of a job.
+func (o *Options) resultDeadline() time.Duration { return cmp.Or(o.ResultDeadline, defaultResultDeadline) }
+
 // World is one simulated deployment.
 type World struct {
 	virtual.Clock
@@ -125,6 +132,7 @@
 	}
 	w.faultsActive = true
 	w.scheduleFaults()
+	w.Every(placementCheckInterval, func() bool { w.check.placement.check(w); return true })
 	end := w.Now.Add(w.options.Length)
 	w.runUntil(end)
 	w.faultsActive = false
