Delay items after replica crashes instead of quarantining them

Cause: an item that ran on three replicas that crashed was quarantined like a caller's request, until a trial two minutes later. Class: evidence against a request that is as often evidence of bad luck, acted upon with a delay that exceeds the lifetime of what it delays.

Change: items and scoring calls are not quarantined. From the third crash on their next run waits 0.125 to 0.25 s, doubling up to 1 to 2 s; the random part keeps items that crashed together apart. Crashes under items are no evidence against callers' requests with the same content and write no records; callers' quarantines, and records that earlier builds wrote, do not hold items. Scoring calls also remain limited by their number of lost calls.

--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -115,7 +115,7 @@
 		Help: "Replicas that ended while a request of this node ran there, once for each request."}, func() float64 {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		return float64(a.node.Quarantine().Stats().Crashes)
+		return float64(a.node.Quarantine().Stats().Crashes + a.node.Jobs().Crashes())
 	}))
 	gauge("doorstep_requests_suspected", "Requests that were at a replica that ended and were not answered since.", func() float64 {
 		return float64(a.node.Quarantine().Stats().Suspects)
--- a/internal/process/quarantine/check.go
+++ b/internal/process/quarantine/check.go
@@ -27,14 +27,6 @@
 	Remaining time.Duration
 }
 
-// Crashes returns the number of counted replica crashes of a request.
-func (q *Quarantine) Crashes(fingerprint Fingerprint) int {
-	if s := q.suspects[fingerprint]; s != nil {
-		return len(s.crashes)
-	}
-	return 0
-}
-
 // Check returns whether a request may be sent to replicas.
 func (q *Quarantine) Check(now time.Time, fingerprint Fingerprint) Decision {
 	s := q.suspects[fingerprint]
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -24,10 +24,8 @@
 	// one.
 	maxTransactionEntries = 90
 	writeRetryDelay       = 250 * time.Millisecond
-	// collectInterval is the time between two collected requests, expireInterval the time between two
-	// removals of expired suspects without records.
+	// collectInterval is the time between two collected requests.
 	collectInterval = time.Second
-	expireInterval  = time.Minute
 )
 
 // trialDelays are the delays after the last crash or trial before a quarantined request is tried again, by
@@ -57,8 +55,8 @@
 	// lifts holds the time up to which operators voided the entries of a request.
 	lifts map[Fingerprint]time.Duration
 	// dirty is set if there may be something to write, writing while a transaction is pending.
-	dirty, writing               bool
-	retryAt, expireAt, collectAt time.Time
+	dirty, writing     bool
+	retryAt, collectAt time.Time
 	// crashes counts calls of RecordCrash.
 	crashes int
 }
@@ -73,8 +71,6 @@
 	Fingerprint Fingerprint
 	// Route and Tenant are names, shown to operators.
 	Route, Tenant string
-	// Owned is set if no other node sends the request, so that its first crash need not be shared.
-	Owned bool
 }
 
 // RecordCrash records that a replica crashed while it was running a request.
@@ -88,10 +84,9 @@
 	if s.crashes[replica] != nil {
 		return
 	}
-	s.route, s.tenant, s.lastCrashAt = request.Route, request.Tenant, now
+	s.route, s.tenant = request.Route, request.Tenant
 	held := s.held()
 	s.crashes[replica] = &entry{at: q.options.StoreClock(now)}
-	s.persist = s.persist || !request.Owned || len(s.crashes) > 1
 	q.dirty = true
 	q.options.Queue.Log(event.ReplicaCrashed, "fingerprint", request.Fingerprint.String(), "replica", replica, "route", request.Route,
 		"crashes", len(s.crashes))
@@ -108,9 +103,7 @@
 	}
 	delete(q.suspects, fingerprint)
 	for _, name := range s.names(fingerprint) {
-		if s.persist || s.entries(name.kind)[name.id].recorded {
-			q.deleteRecord(name)
-		}
+		q.deleteRecord(name)
 	}
 	if s.held() {
 		q.options.Queue.Log(event.QuarantineLifted, "fingerprint", fingerprint.String(), "route", s.route)
@@ -134,19 +127,8 @@
 	}
 }
 
-// Tick writes pending records and removes expired suspects without records.
-func (q *Quarantine) Tick(now time.Time) {
-	q.write(now)
-	if now.Before(q.expireAt) {
-		return
-	}
-	q.expireAt = now.Add(expireInterval)
-	for fingerprint, s := range q.suspects {
-		if !s.persist && now.Sub(s.lastCrashAt) > suspectTTL && !s.recorded() {
-			delete(q.suspects, fingerprint)
-		}
-	}
-}
+// Tick writes pending records.
+func (q *Quarantine) Tick(now time.Time) { q.write(now) }
 
 func (q *Quarantine) sortedFingerprints() []Fingerprint {
 	return slices.SortedFunc(maps.Keys(q.suspects), func(a, b Fingerprint) int { return cmp.Compare(a.String(), b.String()) })
--- a/internal/process/quarantine/suspect.go
+++ b/internal/process/quarantine/suspect.go
@@ -11,10 +11,6 @@
 	route, tenant string
 	// crashes holds the crashes by replica ID, trials the trials by number.
 	crashes, trials map[string]*entry
-	// persist is set if the crashes must be written to the store.
-	persist bool
-	// lastCrashAt is when this node last recorded a crash.
-	lastCrashAt time.Time
 }
 
 // entry is a crash or a trial, with or without a record.
--- a/internal/process/quarantine/write.go
+++ b/internal/process/quarantine/write.go
@@ -63,9 +63,6 @@
 func (q *Quarantine) duePuts() (puts []port.Record, written []*entry) {
 	for _, fingerprint := range q.sortedFingerprints() {
 		s := q.suspects[fingerprint]
-		if !s.persist {
-			continue
-		}
 		for _, name := range s.names(fingerprint) {
 			one := s.entries(name.kind)[name.id]
 			if len(puts) == maxTransactionEntries {
--- a/internal/simulation/clustersim/trainer.go
+++ b/internal/simulation/clustersim/trainer.go
@@ -17,8 +17,8 @@
 	stepInterval          = 3 * time.Second
 	defaultResultDeadline = 7 * time.Second
 	readInterval          = 400 * time.Millisecond
-	itemsPerJob    = 24
-	itemsPerGroup  = 4
+	itemsPerJob           = 24
+	itemsPerGroup         = 4
 	// desiredGroups is the number of complete groups that a trainer waits for.
 	desiredGroups = 5
 	// One in unscoredOneIn jobs has no scoring calls.
--- a/internal/simulation/clustersim/world.go
+++ b/internal/simulation/clustersim/world.go
@@ -69,7 +69,9 @@
 }
 
 // resultDeadline returns how long trainers wait for the results of a job.
-func (o *Options) resultDeadline() time.Duration { return cmp.Or(o.ResultDeadline, defaultResultDeadline) }
+func (o *Options) resultDeadline() time.Duration {
+	return cmp.Or(o.ResultDeadline, defaultResultDeadline)
+}
 
 // World is one simulated deployment.
 type World struct {
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -101,7 +101,7 @@
 	Route func(host, path string) *port.Route
 	// Homes determines the regions in which jobs may be stored and run.
 	Homes Homes
-	// Quarantine tracks requests that crash replicas.
+	// Quarantine tracks callers' requests that crash replicas. Items with the same content clear them.
 	Quarantine *quarantine.Quarantine
 	// StoreLatency returns the recent latency of store calls.
 	StoreLatency func() time.Duration
@@ -141,6 +141,8 @@
 	stopping      bool
 	// isolatedRuns counts the runs of isolated items by endpoint ID.
 	isolatedRuns map[string]int
+	// crashes counts replica crashes under items and scoring calls.
+	crashes int
 	// lengthHistories holds the text lengths observed by this node, by model.
 	lengthHistories map[string]*lengthHistory
 	// collecting is set while a job's records are being deleted; collectAt is when the next
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -85,10 +85,11 @@
 	lengthHint int
 	// interruptions counts interrupted runs, moves those moved to a faster replica.
 	interruptions, moves int
-	// request identifies the item's runs to the quarantine, scoringRequest its scoring calls.
-	request, scoringRequest quarantine.Request
-	// runTrial and scoringTrial are the quarantine trials of these requests.
-	runTrial, scoringTrial trial
+	// request identifies the content of the item's runs, scoringRequest that of its scoring calls.
+	request, scoringRequest quarantine.Fingerprint
+	// runCrashes are the replicas that crashed under the item's runs, scoringCrashes those under its scoring
+	// calls.
+	runCrashes, scoringCrashes crashHistory
 	// header is the request header; long is set if the text is expected to be among the longest.
 	header http.Header
 	long   bool
@@ -101,7 +102,7 @@
 	for i, content := range o.job.Items {
 		header := itemHeader(content)
 		o.items[i].header = header
-		o.items[i].request = o.itemRequest(content)
+		o.items[i].request = o.itemFingerprint(content)
 		o.items[i].waitingSince = now
 		hints[i] = o.jobs.options.LengthHint(header)
 		o.items[i].lengthHint = hints[i]
@@ -180,7 +181,7 @@
 	}
 	it.textCompletedAt = now
 	it.finalEvents = len(it.events)
-	o.jobs.options.Quarantine.RecordAnswer(now, it.request.Fingerprint)
+	o.jobs.options.Quarantine.RecordAnswer(now, it.request)
 	o.jobs.options.Queue.Log(event.ItemCompleted, "job", o.id, "item", o.job.Items[index].Id, "group", o.job.Items[index].Group, "replica", it.endpoint, "events", len(it.events),
 		"versions", versionsOf(it.events), "runs", it.runs, "moves", it.moves, "interruptions", it.interruptions, "long", it.long,
 		"since_ms", now.Sub(it.startedAt).Milliseconds(), "last_run_events", len(last.Events), "pace_us", last.Pace.Microseconds(), "to_score", o.job.Items[index].Scoring != nil)
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -35,7 +35,7 @@
 		}
 		if !o.startRun(now, i, route) {
 			it.waitReason = o.placementReason(it)
-			if o.runsIsolated(it) {
+			if it.runsIsolated() {
 				continue
 			}
 			// Without capacity for one item there is none for the next, except for items that
@@ -55,8 +55,8 @@
 		it.waitReason = WaitUnrecorded
 	case now.Before(it.notBefore):
 		it.waitReason = WaitBackoff
-	case !o.permitted(now, it.request, &it.runTrial):
-		it.waitReason = WaitQuarantined
+	case it.runCrashes.paused(now):
+		it.waitReason = WaitCrashPause
 	default:
 		// Items behind one that found no capacity are not tried.
 		it.waitReason = WaitNoReplica
@@ -76,7 +76,6 @@
 		return false
 	}
 	release := o.isolate(it, chosen.ID)
-	it.runTrial = trial{}
 	if content.Group != "" && !it.long {
 		o.promptEndpoints[content.Group] = chosen.ID
 	}
@@ -106,7 +105,9 @@
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.recordOutcome(now, chosen, o.job.Model, result, now.Sub(sentAt))
 			release()
-			o.recordCrash(now, it.request, chosen, result.Crashed)
+			if result.Crashed {
+				o.recordCrash(now, index, &it.runCrashes, it.request, chosen)
+			}
 			chosen.InFlight--
 			reservation.set(0)
 			o.openRuns--
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -41,7 +41,7 @@
 	it := &o.items[index]
 	it.state = itemScoring
 	it.notBefore = now
-	it.scoringRequest = o.scoringRequestOf(index)
+	it.scoringRequest = o.scoringFingerprint(index)
 }
 
 // scoreItems starts and continues the scoring of all items with a complete text.
@@ -59,7 +59,7 @@
 func (o *ownedJob) scoreItem(now time.Time, index int, noCapacity map[*port.Route]bool) {
 	it := &o.items[index]
 	// As with runs, scoring continues only after failures are recorded.
-	if it.failureUnrecorded || it.scoringRound == nil && now.Before(it.notBefore) || !o.permitted(now, it.scoringRequest, &it.scoringTrial) {
+	if it.failureUnrecorded || it.scoringRound == nil && now.Before(it.notBefore) || it.scoringCrashes.paused(now) {
 		return
 	}
 	route := o.scoringRoute(index)
@@ -120,9 +120,8 @@
 	it.scoringRound = &scoringRound{
 		relay: relay.New(now, route, o.scoringTimeout(now)), exclude: map[string]bool{}, open: map[uint64]bool{},
 	}
-	if it.scoringTrial.granted {
+	if it.scoringCrashes.limited() {
 		it.scoringRound.relay.LimitAttempts(1)
-		it.scoringTrial = trial{}
 	}
 	o.sendScoring(now, index, chosen)
 }
@@ -191,7 +190,9 @@
 	}
 	delete(round.open, id)
 	round.relay.RecordOutcome(result.Outcome)
-	o.recordCrash(now, it.scoringRequest, chosen, result.Crashed)
+	if result.Crashed {
+		o.recordCrash(now, index, &it.scoringCrashes, it.scoringRequest, chosen)
+	}
 	if chosen.RecordAttempt(now, result.Outcome, took) {
 		o.jobs.options.Queue.Log(event.ReplicaEjected, "replica", chosen.ID, "after_ms", took.Milliseconds())
 	}
@@ -206,7 +207,7 @@
 func (o *ownedJob) onScored(now time.Time, index int, chosen *endpoint.Endpoint, score string) {
 	it := &o.items[index]
 	o.stopScoring(it)
-	o.jobs.options.Quarantine.RecordAnswer(now, it.scoringRequest.Fingerprint)
+	o.jobs.options.Quarantine.RecordAnswer(now, it.scoringRequest)
 	o.jobs.options.Queue.Log(event.ItemScored, "job", o.id, "item", o.job.Items[index].Id, "call", o.job.Items[index].Scoring.Id,
 		"replica", chosen.ID, "attempts", it.scoringCalls, "since_whole_ms", now.Sub(it.textCompletedAt).Milliseconds())
 	o.finishItem(now, index, score)
--- a/internal/version/batch/waiting.go
+++ b/internal/version/batch/waiting.go
@@ -30,8 +30,8 @@
 	WaitUnrecorded WaitReason = "failure unrecorded"
 	// WaitBackoff items are delayed after their last run.
 	WaitBackoff WaitReason = "backoff"
-	// WaitQuarantined items are quarantined.
-	WaitQuarantined WaitReason = "quarantined"
+	// WaitCrashPause items are delayed after replicas crashed under them.
+	WaitCrashPause WaitReason = "crash pause"
 	// WaitIsolated items found no replica without another isolated item.
 	WaitIsolated WaitReason = "isolated"
 	// WaitAvoiding items found no replica other than the one of their last run.
@@ -42,13 +42,13 @@
 
 // WaitReasons lists all wait reasons.
 var WaitReasons = []WaitReason{
-	WaitNoRoute, WaitNotOwned, WaitUnrecorded, WaitBackoff, WaitQuarantined, WaitIsolated, WaitAvoiding, WaitNoReplica,
+	WaitNoRoute, WaitNotOwned, WaitUnrecorded, WaitBackoff, WaitCrashPause, WaitIsolated, WaitAvoiding, WaitNoReplica,
 }
 
 // placementReason returns the reason for which an item found no endpoint.
 func (o *ownedJob) placementReason(it *item) WaitReason {
 	switch {
-	case o.runsIsolated(it):
+	case it.runsIsolated():
 		return WaitIsolated
 	case it.avoidEndpoint != "":
 		return WaitAvoiding
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -43,7 +43,7 @@
 prove 14-one-report one-report 1..180 all
 prove 15-usage-clock usage-exact 1..20 clock-step
 prove 16-tenants tenant-true 1..5 none
-prove 17-crash-limit crashes-bounded 1..20 item-poison
+prove 17-crash-pauses crashes-bounded 1..20 item-poison
 prove 18-evacuations evacuations-respected 1..20 zone-evacuated
 prove 19-cold-bound cold-bounded 1..20 replica-cold,zone-cold-return,all-cold
 prove 20-home-regions homes-kept 1..10 homes-change
