Limit how long items wait for a replica of their own

What callers saw: after a burst of crashes, items under which two replicas had crashed waited in turn while all replicas had room.

Cause: such items share no replica with one another, so that of more items than replicas the rest waits for whole runs. Class: a preference that is enforced as a requirement, without a bound.

Change: an item waits 500 ms for a replica of its own, then it takes any with capacity. Items that wait for one do not stop the placement of those behind them, as before.

--- a/internal/version/batch/crash.go
+++ b/internal/version/batch/crash.go
@@ -47,12 +47,12 @@
 // limited reports whether a single replica at a time may get the item.
 func (c *crashHistory) limited() bool { return c.crashes >= pauseAfter }
 
-// runsIsolated reports whether an item must not share a replica with other such items. Isolation keeps items that
+// runsIsolated reports whether an item should not share a replica with other such items. Isolation keeps items that
 // ran beside the cause of the crashes from crashing with it again.
 func (it *item) runsIsolated() bool { return it.runCrashes.crashes >= isolateAfter }
 
-// isolationExcludes returns the endpoints that an isolated item must not use because another
-// isolated item runs there.
+// isolationExcludes returns the endpoints that an isolated item should not use because another isolated item runs
+// there.
 func (o *ownedJob) isolationExcludes(it *item) map[string]bool {
 	if !it.runsIsolated() {
 		return nil
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -12,6 +12,9 @@
 // runTimeout limits the duration of one run of an item.
 const runTimeout = 30 * time.Second
 
+// placementPatience is how long an item waits for a replica that suits it better than others with capacity.
+const placementPatience = 500 * time.Millisecond
+
 // Timeouts after which a run without new events is resumed on another replica. Resuming is
 // cheap, and the replica may be loading a version or be gone. The timeouts double with each
 // interruption of an item, in case the whole deployment is slow.
@@ -34,8 +37,8 @@
 			continue
 		}
 		if !o.startRun(now, i, route) {
-			it.waitReason = o.placementReason(it)
-			if it.runsIsolated() {
+			it.waitReason = it.placementReason(now)
+			if it.runsIsolated() && it.selective(now) {
 				continue
 			}
 			// Without capacity for one item there is none for the next, except for items that
@@ -65,12 +68,28 @@
 	return false
 }
 
+// selective reports whether a waiting item still waits for a replica that suits it better. After a burst of crashes
+// there may be none, while all others have capacity.
+func (it *item) selective(now time.Time) bool {
+	placeableSince := it.waitingSince
+	for _, delayedUntil := range []time.Time{it.notBefore, it.runCrashes.retryAt} {
+		if delayedUntil.After(placeableSince) {
+			placeableSince = delayedUntil
+		}
+	}
+	return now.Sub(placeableSince) < placementPatience
+}
+
 func (o *ownedJob) startRun(now time.Time, index int, route *port.Route) bool {
 	it, content := &o.items[index], o.job.Items[index]
 	tokens := o.jobs.options.ExpectedTokens(route, it.header, len(it.events))
+	var exclude map[string]bool
+	if it.selective(now) {
+		exclude = o.isolationExcludes(it)
+	}
 	chosen := o.jobs.options.Place(now, Placement{
 		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion,
-		Prefer: o.promptEndpoints[content.Group], Avoid: it.avoidEndpoint, Exclude: o.isolationExcludes(it), Long: it.long, Tokens: tokens,
+		Prefer: o.promptEndpoints[content.Group], Avoid: it.avoidEndpoint, Exclude: exclude, Long: it.long, Tokens: tokens,
 	})
 	if chosen == nil {
 		return false
--- a/internal/version/batch/waiting.go
+++ b/internal/version/batch/waiting.go
@@ -46,9 +46,9 @@
 }
 
 // placementReason returns the reason for which an item found no endpoint.
-func (o *ownedJob) placementReason(it *item) WaitReason {
+func (it *item) placementReason(now time.Time) WaitReason {
 	switch {
-	case it.runsIsolated():
+	case it.runsIsolated() && it.selective(now):
 		return WaitIsolated
 	case it.avoidEndpoint != "":
 		return WaitAvoiding
