Let items return to the replica of their last run

What callers saw: in a service with one replica that may take an item, the item was never placed again once its last run there had not ended well. One refusal was enough, no fault was needed; the job waited until the item expired. In a larger service the same happens while all other replicas are unusable.

Cause: the replica of the last run is excluded from an item's placement until the item runs elsewhere.

Change: an item avoids that replica for 500 ms, like a replica with another isolated item. Items that are choosy do not count as evidence that there is no capacity, so that two of them no longer stop the placement of all items behind them. The wait reason of items that are not tried is updated too.

--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -166,3 +166,15 @@
 		}
 	}
 }
+
+// TestItemsArePlacedBesideColdReplicas guards against items that wait beside replicas with room because warm replicas
+// get items at the rate of cold ones only.
+func TestItemsArePlacedBesideColdReplicas(t *testing.T) {
+	for _, seed := range []uint64{7, 13, 93} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			options := Options{Seed: seed, Nodes: 6, Replicas: 5, Length: testLength, Faults: Faults, ResultDeadline: patientDeadline}
+			reportViolations(t, seed, New(options).Run())
+		})
+	}
+}
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -24,29 +24,26 @@
 	maxEventTimeout   = 4 * time.Second
 )
 
+// maxWithoutCapacity is the number of items that are tried in vain before the rest of a job is left for the next tick.
+// It is not one, as long items may be placed differently.
+const maxWithoutCapacity = 2
+
 func (o *ownedJob) startItems(now time.Time) {
 	route := o.route()
 	if route == nil {
 		o.waitForAll(WaitNoRoute)
 		return
 	}
-	noCapacity := false
+	withoutCapacity := 0
 	for _, i := range o.startOrder {
 		it := &o.items[i]
-		if it.state != itemWaiting || !o.mayStart(now, it) {
+		// Without capacity for some items there is none for the next.
+		if it.state != itemWaiting || !o.mayStart(now, it) || withoutCapacity == maxWithoutCapacity || o.startRun(now, i, route) {
 			continue
 		}
-		if !o.startRun(now, i, route) {
-			it.waitReason = it.placementReason(now)
-			if it.runsIsolated() && it.selective(now) {
-				continue
-			}
-			// Without capacity for one item there is none for the next, except for items that
-			// avoid an endpoint.
-			if noCapacity {
-				return
-			}
-			noCapacity = true
+		it.waitReason = it.placementReason(now)
+		if it.waitReason == WaitNoReplica {
+			withoutCapacity++
 		}
 	}
 }
@@ -83,13 +80,13 @@
 func (o *ownedJob) startRun(now time.Time, index int, route *port.Route) bool {
 	it, content := &o.items[index], o.job.Items[index]
 	tokens := o.jobs.options.ExpectedTokens(route, it.header, len(it.events))
-	var exclude map[string]bool
+	avoid, exclude := "", map[string]bool(nil)
 	if it.selective(now) {
-		exclude = o.isolationExcludes(it)
+		avoid, exclude = it.avoidEndpoint, o.isolationExcludes(it)
 	}
 	chosen := o.jobs.options.Place(now, Placement{
 		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion,
-		Prefer: o.promptEndpoints[content.Group], Avoid: it.avoidEndpoint, Exclude: exclude, Long: it.long, Tokens: tokens,
+		Prefer: o.promptEndpoints[content.Group], Avoid: avoid, Exclude: exclude, Long: it.long, Tokens: tokens,
 	})
 	if chosen == nil {
 		return false
--- a/internal/version/batch/waiting.go
+++ b/internal/version/batch/waiting.go
@@ -48,7 +48,9 @@
 // placementReason returns the reason for which an item found no endpoint.
 func (it *item) placementReason(now time.Time) WaitReason {
 	switch {
-	case it.runsIsolated() && it.selective(now):
+	case !it.selective(now):
+		return WaitNoReplica
+	case it.runsIsolated():
 		return WaitIsolated
 	case it.avoidEndpoint != "":
 		return WaitAvoiding
