Soak: crash replicas repeatedly under a running job

The soak's crashes fell silent before their connections closed, so that no run was ever seen to end with its replica, and all its items had one body, so that each was taken for content that had just been answered.

At the end of each soak, without any other fault, all replicas of the model now crash four times within 1.6 s under a job, which must complete within 8 s. Item bodies differ.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -208,7 +208,7 @@
 	response := s.send(ctx, s.randomNode(random), http.MethodGet, platformtest.ItemPath(job.ID, item), "", nil)
 	switch {
 	case response.Err != nil:
-	case response.Status == http.StatusOK && string(response.Body) != platformtest.ItemBody:
+	case response.Status == http.StatusOK && string(response.Body) != platformtest.ItemBody(item):
 		s.checker.AddViolation("item %s has unexpected body %q", item, response.Body)
 	case response.Status == http.StatusNotFound && undisturbed && !s.checker.IsListed(job.ID, item):
 		s.checker.AddViolation("body of unlisted item %s not found", item)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -126,6 +126,7 @@
 	s.awaitRecovery(ctx, clearedAt)
 	s.drainOnePerService()
 	s.evacuateUndisturbed()
+	s.crashDuringJob(ctx)
 	s.checker.CheckCompletion(time.Now(), clearedAt, recoveryTimeout)
 	cancel()
 	load.Wait()
