Bound answers that do not end

What callers saw: a replica that sends without end had its answer cut at 64 MiB and delivered as a whole one (status 200, plain requests, streams that answer with a plain body, and failures). Heads, and events, comments and empty lines of a stream were read into memory until the deadline.

Cause: io.LimitReader ends without an error, http.ReadResponse and the event reader have no limit. Class: a limit that cuts instead of failing.

Trailers and 1xx heads were bounded already.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -41,6 +41,9 @@
 	idleMargin         = 500 * time.Millisecond
 	// maxInlineBody is the largest body written before the answer is read.
 	maxInlineBody = 16 << 10
+	// maxHeadBytes bounds the head of an answer, maxReadAhead what the buffered reader may read beyond it.
+	maxHeadBytes = 64 << 10
+	maxReadAhead = 4 << 10
 	// maxMismatchedBody is the largest body of a mismatched answer that is drained.
 	maxMismatchedBody = 64 << 10
 	// tcpUserTimeout is the TCP_USER_TIMEOUT socket option on Linux.
@@ -62,6 +65,9 @@
 // errMismatchedAnswer is returned if an answer has no request ID or that of another request.
 var errMismatchedAnswer = errors.New("answer has a missing or mismatched request ID")
 
+// errHeadTooLarge is returned if the head of an answer exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // errDeadlinePassed is returned if a call was not sent because its deadline had passed.
 var errDeadlinePassed = errors.New("deadline passed before the call was sent")
 
@@ -105,6 +111,30 @@
 	address   string
 	reader    *bufio.Reader
 	idleUntil time.Time
+	// headLeft is how much may still be read while headLimited is set.
+	headLimited bool
+	headLeft    int
+}
+
+// Read implements io.Reader for the buffered reader. It limits what is read for the head of an answer, which
+// http.ReadResponse does not.
+func (c *connection) Read(p []byte) (int, error) {
+	if !c.headLimited {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+// readHead reads the head of an answer.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.headLimited, c.headLeft = true, maxHeadBytes+maxReadAhead
+	defer func() { c.headLimited = false }()
+	return http.ReadResponse(c.reader, request)
 }
 
 // Answer is a replica's answer whose body has yet to be read.
@@ -151,7 +181,7 @@
 		return nil, err
 	}
 	request := &http.Request{Method: call.Method}
-	response, err := http.ReadResponse(conn.reader, request)
+	response, err := conn.readHead(request)
 	if err != nil {
 		return nil, err
 	}
@@ -184,7 +214,7 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(mismatched.Body, maxMismatchedBody)); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(conn.reader, request)
+	return conn.readHead(request)
 }
 
 // write sends the header and a small body. A large body is written concurrently with reading the
@@ -275,7 +305,9 @@
 	if c.OnConnect != nil {
 		c.OnConnect(address, time.Since(startedAt))
 	}
-	return &connection{Conn: opened, address: address, reader: bufio.NewReader(opened)}, nil
+	conn := &connection{Conn: opened, address: address}
+	conn.reader = bufio.NewReaderSize(conn, maxReadAhead)
+	return conn, nil
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -82,9 +82,11 @@
 	store    port.RecordStore
 	duties   *dutyCaller
 	upstream *upstream.Client
-	log      *eventLog
-	metrics  *metrics
-	base     context.Context
+	// responseBudget is the memory left for buffered responses.
+	responseBudget byteBudget
+	log            *eventLog
+	metrics        *metrics
+	base           context.Context
 	// steps implements the trainer API, which trainerMux routes to.
 	steps      *experiment.Steps
 	trainerMux http.Handler
@@ -166,7 +168,7 @@
 	}
 	a := &Agent{
 		clock:    clock.New(options.Clock),
-		settings: options.Settings, protocol: options.Protocol, store: options.Store, upstream: upstream.New(), base: base,
+		settings: options.Settings, protocol: options.Protocol, store: options.Store, upstream: upstream.New(), responseBudget: byteBudget{left: maxBufferedBytes}, base: base,
 		duties: newDutyCaller(options), runCancels: map[uint64]context.CancelFunc{}, jobWaiters: map[string]chan struct{}{},
 	}
 	a.startedAt = a.clock.Now()
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"syscall"
@@ -19,9 +18,6 @@
 	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
-// maxResponseBytes bounds a buffered response.
-const maxResponseBytes = 64 << 20
-
 // connectionHeaders are the hop-by-hop headers, which are not forwarded.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
@@ -61,6 +57,7 @@
 	sendBy     time.Time
 	retryAfter time.Duration
 	attempts   chan *attempt
+	buffers    *responseBuffers
 	launched   int
 	started    time.Time
 }
@@ -72,6 +69,7 @@
 	return &exchange{
 		agent: a, request: r, route: route, caller: caller, id: id, body: body, relay: relay.New(now, route, timeout),
 		identity: quarantine.Request{Fingerprint: call.Fingerprint(), Route: route.Name, Tenant: caller.Tenant},
+		buffers:  a.newResponseBuffers(),
 		exclude:  map[string]bool{}, attempts: make(chan *attempt, max(route.MaxAttempts, 1)), started: a.clock.Now(),
 	}
 }
@@ -193,13 +191,13 @@
 }
 
 func (x *exchange) send(ctx context.Context, chosen *endpoint.Endpoint, call *upstream.Call) *attempt {
-	ended := x.agent.doBuffered(ctx, call)
+	ended := x.agent.doBuffered(ctx, call, x.buffers)
 	ended.endpoint = chosen
 	return ended
 }
 
 // doBuffered makes a call and reads the full response.
-func (a *Agent) doBuffered(ctx context.Context, call *upstream.Call) *attempt {
+func (a *Agent) doBuffered(ctx context.Context, call *upstream.Call, buffers *responseBuffers) *attempt {
 	ended := &attempt{}
 	answer, err := a.upstream.Do(ctx, call)
 	if err != nil {
@@ -209,7 +207,7 @@
 	}
 	defer answer.Close()
 	ended.status, ended.header = answer.Status, answer.Header
-	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, maxResponseBytes))
+	ended.body, ended.err = buffers.read(answer)
 	ended.outcome = a.responseOutcome(ended)
 	return ended
 }
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -16,6 +16,7 @@
 	if !x.mayForward(w) {
 		return
 	}
+	defer x.buffers.end()
 	clientCtx := x.request.Context()
 	defer x.agent.followReplicas(clientCtx, x.route)()
 	ctx, cancel := context.WithDeadline(clientCtx, x.relay.Deadline())
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -63,7 +63,7 @@
 	a.updateLoad(t.Replica, answer.Header)
 	result := task.RunResult{Outcome: runOutcome(answer.Status, a.protocol.NotExecuted(answer.Status, answer.Header)), Status: answer.Status}
 	if result.Outcome != task.RunCompleted {
-		_, _ = io.Copy(io.Discard, answer)
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxControlBytes))
 		return result
 	}
 	reading := runReader{events: a.protocol.NewEventReader(answer), version: a.protocol.Version(answer.Header), last: t.After, reportedAt: time.Now()}
--- a/internal/process/agent/scoring.go
+++ b/internal/process/agent/scoring.go
@@ -17,10 +17,12 @@
 	a.protocol.SetReplicaAndDeadline(header, t.Replica, t.Limit)
 	a.setTenantHeader(header, a.jobCaller(t.Tenant))
 	startedAt := time.Now()
+	buffers := a.newResponseBuffers()
+	defer buffers.end()
 	ended := a.doBuffered(ctx, &upstream.Call{
 		Address: t.Address, Method: http.MethodPost, Target: t.Target, Host: t.Host, Header: header, Body: t.Body,
 		ID: t.Request, IDOf: a.protocol.RequestID, DeadlinePassed: a.pastDeadline(t.SendBy),
-	})
+	}, buffers)
 	a.metrics.scoringCall(ended.outcome, time.Since(startedAt))
 	result := task.ScoringResult{Outcome: ended.outcome, Status: ended.status, Err: ended.err, Crashed: a.crashed(ctx, t.Address, ended.outcome)}
 	if ended.outcome == relay.Answered {
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -39,6 +39,7 @@
 	}
 	s := &relayedStream{exchange: x, writer: w, control: http.NewResponseController(w)}
 	s.last, _ = strconv.ParseInt(a.protocol.LastEvent(x.request.Header), 10, 64)
+	defer x.buffers.end()
 	clientCtx := x.request.Context()
 	defer a.followReplicas(clientCtx, x.route)()
 	ctx, cancel := context.WithDeadline(clientCtx, s.relay.Deadline())
@@ -123,7 +124,7 @@
 // relayBuffered relays a response that is not an event stream, unless events were already sent.
 func (s *relayedStream) relayBuffered(chosen *endpoint.Endpoint, answer *upstream.Answer) (relay.Outcome, error) {
 	ended := &attempt{endpoint: chosen, status: answer.Status, header: answer.Header}
-	ended.body, ended.err = io.ReadAll(io.LimitReader(answer, maxResponseBytes))
+	ended.body, ended.err = s.buffers.read(answer)
 	ended.outcome = s.agent.responseOutcome(ended)
 	if ended.outcome == relay.NotRun || ended.outcome == relay.Broken || s.headerSent {
 		return ended.outcome, ended.err
