--- a/internal/process/cluster/replicalist.go
+++ b/internal/process/cluster/replicalist.go
@@ -201,7 +201,7 @@
 func (n *Node) onPartialList(now time.Time, table string) {
 	change := n.replicaDemand.partial
 	n.replicaDemand.partial = port.DeploymentUpdate{}
-	n.unreadable.logNew(n.queue, table, change.Unreadable, false)
+	n.unreadable.logNew(n.queue, table, change, false)
 	listed := n.putReplicas(now, change.Replicas, true)
 	if !n.lapses.retaining(now) {
 		for _, dropped := range n.endpoints.Retain(listed) {
--- a/internal/process/cluster/unreadable_test.go
+++ b/internal/process/cluster/unreadable_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -44,8 +45,10 @@
 	if n.endpoints.Find("r") != nil {
 		t.Error("the replica is still in use")
 	}
-	for range 3 {
+	for repeated := range int64(3) {
 		n.onDeployment(start, "replicas", record("?", 2), true)
+		// Another writer may write the same record at each heartbeat.
+		n.onDeployment(start, "replicas", record("?", 3+repeated), false)
 	}
 	lines := 0
 	for _, one := range n.Take() {
@@ -56,10 +59,18 @@
 	if lines != 1 {
 		t.Errorf("%d log lines, want 1", lines)
 	}
-	n.onDeployment(start, "replicas", record("sound", 3), false)
+	n.onDeployment(start, "replicas", record("sound", 6), false)
 	if n.endpoints.Find("r") == nil {
 		t.Error("replica not added again with a readable record")
 	}
+	n.Take()
+	n.onDeployment(start, "replicas", record("?", 7), false)
+	if !slices.ContainsFunc(n.Take(), func(one task.Task) bool {
+		logged, ok := one.(task.Log)
+		return ok && logged.Event == event.RecordUnreadable
+	}) {
+		t.Error("a record that becomes unreadable again is not logged")
+	}
 }
 
 // TestStaleRemovalIsIgnored checks that a removal older than the record is ignored, and that one without a revision
--- a/internal/process/cluster/watches.go
+++ b/internal/process/cluster/watches.go
@@ -117,7 +117,7 @@
 // onDeployment handles changes, or a full read, of a deployment table.
 func (n *Node) onDeployment(now time.Time, table string, records []port.Record, fullRead bool) {
 	change := n.options.Decoder.DecodeDeployment(records)
-	n.unreadable.logNew(n.queue, table, change.Unreadable, fullRead)
+	n.unreadable.logNew(n.queue, table, change, fullRead)
 	if change.Routes != nil {
 		n.applyRoutes(now, change.Routes)
 	}
