--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -73,8 +73,8 @@
 	// checkpointing is set while a checkpoint is being written.
 	checkpointing  bool
 	checkpointedAt time.Time
-	// overdueLoggedAt is when overdue items were last logged.
-	overdueLoggedAt time.Time
+	// overdueCheckedAt is when the job was last checked for overdue items.
+	overdueCheckedAt time.Time
 	// nextCheckpointItem is the first item considered for the next checkpoint.
 	nextCheckpointItem int
 }
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -38,7 +38,10 @@
 	for _, i := range o.startOrder {
 		it := &o.items[i]
 		// Without capacity for some items there is none for the next.
-		if it.state != itemWaiting || !o.mayStart(now, it) || withoutCapacity == maxWithoutCapacity || o.startRun(now, i, route) {
+		if it.state != itemWaiting || !o.mayStart(now, it) || withoutCapacity == maxWithoutCapacity {
+			continue
+		}
+		if o.startRun(now, i, route) {
 			continue
 		}
 		it.waitReason = it.placementReason(now)
@@ -58,7 +61,7 @@
 	case it.runCrashes.paused(now):
 		it.waitReason = WaitCrashPause
 	default:
-		// Items behind one that found no capacity are not tried.
+		// This is the reason for items that are not tried because others found no capacity.
 		it.waitReason = WaitNoReplica
 		return true
 	}
--- a/internal/version/batch/waiting.go
+++ b/internal/version/batch/waiting.go
@@ -11,10 +11,10 @@
 	// overdueAfter is how long an item waits for a replica before it counts as overdue. It is below the time
 	// after which trainers regard an item as lost.
 	overdueAfter = 3 * time.Second
-	// overdueLogInterval is the time between two log lines about a job's overdue items, which name at most
-	// maxOverdueNamed of them each.
-	overdueLogInterval = 3 * time.Second
-	maxOverdueNamed    = 8
+	// overdueCheckInterval is the time between two checks of a job for overdue items. A log line names at most
+	// maxOverdueNamed of them.
+	overdueCheckInterval = 2 * time.Second
+	maxOverdueNamed      = 8
 )
 
 // WaitReason is the reason for which an item is not running on a replica.
@@ -74,9 +74,10 @@
 
 // logOverdue logs the overdue items of the job by wait reason.
 func (o *ownedJob) logOverdue(now time.Time) {
-	if now.Sub(o.overdueLoggedAt) < overdueLogInterval {
+	if now.Sub(o.overdueCheckedAt) < overdueCheckInterval {
 		return
 	}
+	o.overdueCheckedAt = now
 	overdue := map[WaitReason][]int{}
 	for i := range o.items {
 		if o.items[i].overdue(now) {
@@ -86,7 +87,6 @@
 	}
 	for _, reason := range WaitReasons {
 		if items := overdue[reason]; len(items) > 0 {
-			o.overdueLoggedAt = now
 			o.logOverdueItems(now, reason, items)
 		}
 	}
