--- a/internal/version/batch/placement_test.go
+++ b/internal/version/batch/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/task"
 )
 
@@ -111,3 +112,26 @@
 		}
 	}
 }
+
+// TestOlderJobsAreNotStarved guards against jobs whose items wait until they expire because the capacity for new items
+// always goes to another job of the same owner.
+func TestOlderJobsAreNotStarved(t *testing.T) {
+	const placementInterval = 100 * time.Millisecond
+	n := newTestNode("a", newStore())
+	lastPlaced := n.now
+	n.jobs.options.Place = func(now time.Time, wanted Placement) *endpoint.Endpoint {
+		if wanted.DryRun || now.Sub(lastPlaced) < placementInterval {
+			return nil
+		}
+		lastPlaced = now
+		return n.replica
+	}
+	n.accept(newJob("older", 4))
+	n.accept(newJob("newer", 200))
+	placed := placedDuring(n, calmPeriod, placementInterval/2)
+	for i := range 4 {
+		if item := fmt.Sprint("older-", i); !placed[item] {
+			t.Errorf("%s was not placed within %s, %d items were", item, calmPeriod, len(placed))
+		}
+	}
+}
