review: case 4, an item's answer without end takes its owner over its memory

Cause: the events of an item's run are kept without a bound on their number, their size or the time of the run.

--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -37,6 +38,8 @@
 	models []modelState
 	// spoil, if set, tells at which event an answer is spoiled, 0 for none.
 	spoil func(id string, first, last int) int
+	// endless, if set, tells whether an answer goes on behind its last event without end.
+	endless func(id string) bool
 	// orderDelay is how long a load takes.
 	mu       sync.Mutex
 	running  int
@@ -58,6 +61,12 @@
 	Adapters []string `json:"adapters"`
 }
 
+const (
+	endlessBlock = 128 << 10
+	endlessPause = time.Millisecond
+	endlessBytes = 4 << 10
+)
+
 // loadTime is how long a change of version takes.
 const loadTime = 900 * time.Millisecond
 
@@ -298,9 +307,34 @@
 		_ = control.Flush()
 		one.events = number
 	}
+	if r.endless != nil && r.endless(one.id) {
+		r.sendWithoutEnd(w, q, one, total)
+		return
+	}
 	r.end(one, true)
 }
 
+// sendWithoutEnd goes on behind the last event of an answer until the caller closes the connection.
+func (r *replica) sendWithoutEnd(w http.ResponseWriter, q *http.Request, one *run, last int) {
+	r.record.say("replica %s: the answer to %s does not end", r.id, one.id)
+	sent := 0
+	for q.Context().Err() == nil {
+		var block bytes.Buffer
+		for block.Len() < endlessBlock {
+			last++
+			fmt.Fprintf(&block, "id: %d\ndata: %s\n\n", last, endlessText)
+		}
+		count, err := w.Write(block.Bytes())
+		sent += count
+		if err != nil {
+			break
+		}
+		time.Sleep(endlessPause)
+	}
+	r.record.say("replica %s: the connection of %s was closed after %d events, %d bytes too many", r.id, one.id, last, sent)
+	r.end(one, false)
+}
+
 // listenAgain starts the replica's server anew at its address.
 func (r *replica) listenAgain() {
 	listener, err := net.Listen("tcp", r.address)
@@ -330,3 +364,6 @@
 	}
 	return list
 }
+
+// endlessText is the text of an event that is one too many.
+var endlessText = strings.Repeat("more", endlessBytes/4)
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -45,7 +46,11 @@
 const (
 	storeLatency = 4 * time.Millisecond
 	pageRows     = 500
-	pageBytes    = 1_000_000
+	pageBytes    = 1 << 20
+	// A transaction holds 100 entries and 1 MB at the most, a row 65,536 bytes.
+	transactionRows  = 100
+	transactionBytes = 1 << 20
+	rowBytes         = 65536
 )
 
 func startStore() *store {
@@ -115,11 +120,27 @@
 		Put      []row `json:"put"`
 		Removals []row `json:"removals"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if len(content) > transactionBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err := json.Unmarshal(content, &body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if len(body.Expected)+len(body.Put)+len(body.Removals) > transactionRows {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	for _, one := range append(append([]row{}, body.Put...), body.Removals...) {
+		if len(one.Value) > rowBytes {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 		if one.Table == "servers" {
 			w.WriteHeader(http.StatusForbidden)
 			return
