--- a/review/lab/resume.go
+++ b/review/lab/resume.go
@@ -63,11 +63,11 @@
 
 	whole, failed, brokenOff, early := 0, 0, 0, 0
 	var waiting sync.WaitGroup
-	const rate = 14
+	const rate = 18
 	const length = 60 * time.Second
 	began := time.Now()
 	for i := 0; time.Since(began) < length; i++ {
-		if c.trouble && i > 0 && i%(10*rate) == 3*rate {
+		if c.trouble && i > 0 && i%(8*rate) == 3*rate {
 			replicas[0].crash(crashFor)
 		}
 		waiting.Add(1)
