--- a/review/lab/burst.go
+++ b/review/lab/burst.go
@@ -18,8 +18,8 @@
 const (
 	// bodyBytes is max_body_bytes of the sheet.
 	bodyBytes = 33554432
-	// Eight uploads at once share a machine's link of 1,000 Mbit/s.
-	uploadsAtOnce = 8
+	// Ten uploads at once share a machine's link of 1,000 Mbit/s.
+	uploadsAtOnce = 10
 	linkBytesPerS = 125_000_000
 	bursts        = 9
 )
