Refuse events, jobs and statements that are not text

Cause: bytes from outside were kept as text without a check. proto.Marshal refuses such strings, and checkpointRecord, resultRecords and Accept took its error for a broken invariant (panic). Same cause on related paths: paths and IDs of jobs (no answer), bodies of jobs (bytes replaced by the JSON decoder), the signature that is kept as a score, operators' statements.

Jobs get a 400 with the reason. Encoders on the path of outside data return an error that concerns one job or item (event 804); the item is generated again and does not hold back others.

--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
@@ -28,8 +29,12 @@
 		return
 	}
 	job, err := a.protocol.DecodeJob(id, body)
-	if err == nil && (len(id) > maxJobIDBytes || strings.ContainsAny(id, "/\x00")) {
+	switch {
+	case err != nil:
+	case len(id) > maxJobIDBytes || strings.ContainsAny(id, "/\x00") || !utf8.ValidString(id):
 		err = errJobID
+	case !utf8.ValidString(r.Host) || !utf8.ValidString(r.URL.Path):
+		err = errJobPath
 	}
 	if err != nil {
 		a.refuse(w, id, http.StatusBadRequest, 0, err.Error())
@@ -50,8 +55,12 @@
 	a.refuseOutcome(w, id, outcome)
 }
 
-// errJobID reports a job ID that is not usable in a record key.
-var errJobID = errorString("the id of the job is too long or holds a slash")
+var (
+	// errJobID reports a job ID that is not usable in a record key.
+	errJobID = errorString("the id of the job is too long, holds a slash or is not UTF-8")
+	// errJobPath reports a host or a path that cannot be stored as text.
+	errJobPath = errorString("the host or the path is not UTF-8")
+)
 
 type errorString string
 
@@ -80,6 +89,8 @@
 		a.refuse(w, id, http.StatusGatewayTimeout, 0, reasonStoreTimeout)
 	case batch.NoReplica:
 		a.refuse(w, id, http.StatusServiceUnavailable, noRegionRetryAfter, reasonNoAllowedRegion)
+	case batch.Invalid:
+		a.refuse(w, id, http.StatusBadRequest, 0, reasonInvalidJob)
 	case batch.NotApplied, batch.Applied:
 		a.refuse(w, id, http.StatusServiceUnavailable, defaultRetryAfter, reasonStoreUnavailable)
 	}
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -183,7 +183,7 @@
 // are reported as "other" to bound the number of labels.
 var labelledReasons = []string{
 	reasonNoConfiguration, reasonNoRoute, reasonHeaderTooLarge, reasonNoID, reasonBodyTooLarge, reasonIncompleteBody, reasonNoJob, reasonStoreTimeout,
-	reasonStoreUnavailable, reasonIDInUse, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, reasonCold, reasonNoAllowedRegion, relay.ReasonDeadline, relay.ReasonNoAttempt, relay.ReasonEvacuated,
+	reasonStoreUnavailable, reasonIDInUse, reasonInvalidJob, reasonNoKey, reasonUnknownKey, reasonUnconfirmed, reasonQuarantined, reasonCold, reasonNoAllowedRegion, relay.ReasonDeadline, relay.ReasonNoAttempt, relay.ReasonEvacuated,
 }
 
 var attemptOutcomes = map[relay.Outcome]string{relay.Answered: "answered", relay.Errored: "errored", relay.NotRun: "not_run", relay.Broken: "broken", relay.Unreached: "unreached", relay.Refused: "refused"}
@@ -206,7 +206,7 @@
 }
 
 func (m *metrics) accepted(outcome batch.Outcome) {
-	names := map[batch.Outcome]string{batch.Applied: "accepted", batch.NotApplied: "refused", batch.Indeterminate: "unsure", batch.NoReplica: "unserved"}
+	names := map[batch.Outcome]string{batch.Applied: "accepted", batch.NotApplied: "refused", batch.Indeterminate: "unsure", batch.NoReplica: "unserved", batch.Invalid: "invalid"}
 	m.jobs.WithLabelValues(names[outcome]).Inc()
 }
 
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -28,6 +28,7 @@
 	reasonBodyTooLarge     = "the body is too large"
 	reasonIncompleteBody   = "the body did not come whole"
 	reasonNoJob            = "no such batch job"
+	reasonInvalidJob       = "the batch job can't be stored"
 	reasonIDInUse          = "the id of the batch job is in use"
 	reasonStoreTimeout     = "the store did not answer"
 	reasonStoreUnavailable = "the store can't be reached"
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -59,6 +59,7 @@
 	StoreLost                    = 801
 	StoreRecovered               = 802
 	RecordUnreadable             = 803
+	RecordNotEncoded             = 804
 	StoreLatencyChanged          = 805
 	NodesCounted                 = 806
 	WatchSuspended               = 807
@@ -143,6 +144,7 @@
 	{StoreLost, Warn, "record store lost", "A watch of the record store failed. The node continues with the records it has and reads the table again."},
 	{StoreRecovered, Info, "record store regained", "A table of the record store was read completely and is being watched again."},
 	{RecordUnreadable, Error, "record unreadable", "A record of the store cannot be decoded and is ignored."},
+	{RecordNotEncoded, Error, "record not encoded", "A record with text that is not UTF-8 was not written. Other records are not affected. item, if given, is generated again before it is listed."},
 	{StoreLatencyChanged, Info, "record store latency changed", "The node's estimate of the latency of record store calls has doubled or halved since it was last logged. Latencies below 50 ms are not logged."},
 	{NodesCounted, Info, "nodes counted", "The number of nodes that recently announced themselves, as counted by the holder of the order lease. Takeovers are spread over time accordingly."},
 	{WatchSuspended, Info, "watch suspended", "This node currently does not need a large table. It does not follow the table's changes and reads it again before use."},
--- a/internal/request/statement/statement.go
+++ b/internal/request/statement/statement.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -156,6 +157,9 @@
 	if len(text) > MaxLength {
 		return nil, &Error{Line: 1, Column: 1, Message: fmt.Sprintf("text of %d bytes exceeds the maximum of %d bytes", len(text), MaxLength)}
 	}
+	if !utf8.ValidString(text) {
+		return nil, &Error{Line: 1, Column: 1, Message: "the text is not UTF-8"}
+	}
 	parsed, err := parser.ParseString("", text)
 	if err != nil {
 		var positioned participle.Error
--- a/internal/request/statement/statement_test.go
+++ b/internal/request/statement/statement_test.go
@@ -96,3 +96,10 @@
 	f.Add("show nodes where a = 1; drain zone z")
 	f.Fuzz(func(_ *testing.T, text string) { _, _ = Parse(text) })
 }
+
+// TestTextThatIsNotUTF8 guards against statements that cannot be recorded.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	if _, err := ParseOne("create experiment \"e\xff\" policy p"); err == nil {
+		t.Error("accepted")
+	}
+}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -54,6 +54,7 @@
 	}
 	load.Go(func() { s.operator(ctx) })
 	load.Go(func() { s.makeReplicasCold(ctx) })
+	load.Go(func() { s.injectResponseFaults(ctx) })
 }
 
 // sleepRandom sleeps for 0.5 to 1.5 times the mean, or until the context ends.
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -29,6 +29,8 @@
 	TenantMismatch
 	// NoReplica means that the job was rejected because its home regions have no replica.
 	NoReplica
+	// Invalid means that the job was rejected because it cannot be encoded.
+	Invalid
 )
 
 const (
@@ -99,7 +101,8 @@
 	homes := j.options.Homes.regionsOf(route, job.Tenant)
 	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(job)
 	if err != nil {
-		panic("encode batch job: " + err.Error())
+		j.rejectInvalid(now, job, err, done)
+		return
 	}
 	s := &submission{jobs: j, job: job, startedAt: now, backoff: initialBackoff, done: done}
 	records := chunkRecords(content, func(chunk int) port.RecordKey { return contentKey(job.Id, chunk) })
@@ -122,6 +125,13 @@
 	s.submit(now)
 }
 
+// rejectInvalid rejects a job that cannot be encoded.
+func (j *Jobs) rejectInvalid(now time.Time, job *doorstepv1.BatchJob, err error, done func(now time.Time, outcome Outcome)) {
+	j.options.Queue.Log(event.RecordNotEncoded, "job", job.Id, "error", err.Error())
+	j.logAcceptance(now, job, Invalid, 0)
+	done(now, Invalid)
+}
+
 // duplicateOutcome returns the outcome of submitting a job whose ID already exists.
 func duplicateOutcome(known *doorstepv1.BatchJobHead, job *doorstepv1.BatchJob) Outcome {
 	if known.Tenant != job.Tenant {
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -8,6 +8,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/event"
 )
 
 const (
@@ -34,7 +35,11 @@
 	next.Beat++
 	var puts []port.Record
 	for _, index := range ready {
-		records := o.resultRecords(int(next.Listed), index)
+		records, err := o.resultRecords(int(next.Listed), index)
+		if err != nil {
+			o.regenerate(now, index, err)
+			continue
+		}
 		if len(puts) > 0 && sizeOf(puts)+sizeOf(records) > maxTransactionBytes {
 			// The scheduled flush is incomplete, so flush again.
 			o.flushes = flushSchedule{}
@@ -150,12 +155,23 @@
 	return ready[:min(len(ready), maxResultsPerTransaction)]
 }
 
-func (o *ownedJob) resultRecords(position, index int) []port.Record {
+// resultRecords encodes the result of a finished item. It fails if its text or score is not UTF-8.
+func (o *ownedJob) resultRecords(position, index int) ([]port.Record, error) {
 	encoded, err := proto.Marshal(o.result(index))
 	if err != nil {
-		panic("encode batch result: " + err.Error())
+		return nil, err
 	}
-	return chunkRecords(encoded, func(chunk int) port.RecordKey { return resultKey(o.id, position, chunk) })
+	return chunkRecords(encoded, func(chunk int) port.RecordKey { return resultKey(o.id, position, chunk) }), nil
+}
+
+// regenerate discards the text and the score of a finished item whose result cannot be encoded.
+func (o *ownedJob) regenerate(now time.Time, index int, err error) {
+	it := &o.items[index]
+	o.jobs.options.Queue.Log(event.RecordNotEncoded, "job", o.id, "item", o.job.Items[index].Id, "error", err.Error())
+	it.discardText()
+	it.completed, it.score = false, ""
+	it.state, it.waitingSince = itemWaiting, now
+	it.notBefore = now.Add(failureBackoff)
 }
 
 func sizeOf(records []port.Record) int {
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -55,7 +55,11 @@
 			continue
 		}
 		it := &o.items[i]
-		record := o.checkpointRecord(i)
+		record, err := o.checkpointRecord(i)
+		if err != nil {
+			o.jobs.options.Queue.Log(event.RecordNotEncoded, "job", o.id, "item", o.job.Items[i].Id, "error", err.Error())
+			continue
+		}
 		size += len(record.Value)
 		if len(checkpoints) >= maxCheckpointRecords || size > maxTransactionBytes || len(record.Value) > chunkBytes {
 			break
@@ -97,8 +101,8 @@
 	return i.state == itemScoring || i.state == itemFinished && i.completed
 }
 
-// checkpointRecord encodes the events of a text that have not been checkpointed.
-func (o *ownedJob) checkpointRecord(index int) port.Record {
+// checkpointRecord encodes the events of a text that have not been checkpointed. It fails if an event is not UTF-8.
+func (o *ownedJob) checkpointRecord(index int) (port.Record, error) {
 	it := &o.items[index]
 	part := &doorstepv1.KeptText{Score: it.score}
 	if it.textComplete() {
@@ -110,9 +114,9 @@
 	}
 	value, err := proto.Marshal(part)
 	if err != nil {
-		panic("encode text checkpoint: " + err.Error())
+		return port.Record{}, err
 	}
-	return port.Record{RecordKey: o.checkpointKey(index), Value: value}
+	return port.Record{RecordKey: o.checkpointKey(index), Value: value}, nil
 }
 
 func (i *item) eventAt(index int) port.ReplicaEvent {
--- a/internal/version/batch/text_test.go
+++ b/internal/version/batch/text_test.go
@@ -8,6 +8,7 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/task"
 )
 
 // TestDiscardedTextsDoNotMix tests that each generation of a text has its own key prefix, and
@@ -60,3 +61,47 @@
 		t.Errorf("an incomplete text was listed: %v", got)
 	}
 }
+
+// TestTextsThatCannotBeEncoded guards against one item's text ending the process, or holding back the results of others.
+func TestTextsThatCannotBeEncoded(t *testing.T) {
+	n := newTestNode("a", newStore())
+	n.accept(newJob("j", 3))
+	n.elapse(200 * time.Millisecond)
+	runs := n.takeRuns()
+	for _, outcome := range []task.RunOutcome{task.RunInterrupted, task.RunCompleted} {
+		for i, run := range runs {
+			events := []port.ReplicaEvent{{ID: 1, Data: "a", Version: 2}, {ID: 2, Data: "b", Version: 2}, {ID: 3, Data: "c", Version: 2}, {ID: 4, Data: "d", Version: 2}}
+			if i == 1 {
+				events[2].Data = "\xff"
+			}
+			if outcome == task.RunCompleted {
+				events = []port.ReplicaEvent{{ID: 5, Data: "e", Version: 2}}
+			}
+			run.Done(n.now, task.RunResult{Outcome: outcome, Events: events})
+			n.runTasks()
+		}
+		n.elapse(2 * checkpointInterval)
+		runs = n.takeRuns()
+	}
+	if got := n.results(t, "j"); len(got) != 2 {
+		t.Fatalf("results %v, want those of the two other items", got)
+	}
+	if len(runs) != 1 || runs[0].After != 0 {
+		t.Fatalf("runs %v, want one that generates the text from its start", runs)
+	}
+	n.finish(runs[0], task.RunCompleted, 2, 5)
+	n.elapse(time.Second)
+	if got := n.results(t, "j"); len(got) != 3 || !got[2].Completed || got[2].Message != "j-1#1\nj-1#2\nj-1#3\nj-1#4\nj-1#5" {
+		t.Errorf("results %v", got)
+	}
+}
+
+// TestJobsThatCannotBeEncoded guards against a job whose submission ends the process.
+func TestJobsThatCannotBeEncoded(t *testing.T) {
+	n := newTestNode("a", newStore())
+	job := newJob("j", 1)
+	job.Path = "/p/\xff"
+	if outcome, answered := n.accept(job); !answered || outcome != Invalid {
+		t.Errorf("outcome %d, answered %t", outcome, answered)
+	}
+}
--- a/internal/version/configuration/command.go
+++ b/internal/version/configuration/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,6 +34,9 @@
 // Submit executes a command. The reply is Accepted, Refused, or Undecided if the store did not
 // answer before the context ended. To resolve an undecided command, repeat it with its token.
 func (c *Executor) Submit(ctx context.Context, call port.OperatorCall) port.OperatorReply {
+	if !utf8.ValidString(call.Operator) || !utf8.ValidString(call.Token) || !utf8.ValidString(call.Text) {
+		return port.OperatorReply{Status: port.Refused, Reason: "the operator, the token or the text is not UTF-8"}
+	}
 	reply := c.submit(ctx, call)
 	reply.Token = call.Token
 	return reply
--- a/internal/version/configuration/command_test.go
+++ b/internal/version/configuration/command_test.go
@@ -197,3 +197,10 @@
 		t.Errorf("status without a recorded command: %+v, want Undecided", status)
 	}
 }
+
+// TestCommandsThatAreNotTextAreRefused guards against a command that cannot be recorded.
+func TestCommandsThatAreNotTextAreRefused(t *testing.T) {
+	if reply := submit(t, newExecutor(nil), "ann\xff", "t", "drain node n", 0); reply.Status != port.Refused {
+		t.Errorf("reply %+v", reply)
+	}
+}
