Limit the runs of items in events, size and time

Cause: Agent.stream kept each event, and each one set the timeout anew. Nothing limited the number or the size of a run's events, and the time granted to the replica was not enforced.

Change: limits per run (events from the item's tokens, 1 MiB, the time granted and 1 s), and the memory that buffered responses share. A run over its limits ends as RunTooLong and nothing of the text is kept, also not what was stored during the run: a part without events supersedes it, and only the latest generation of each owner is restored.

--- a/internal/port/stream.go
+++ b/internal/port/stream.go
@@ -12,6 +12,12 @@
 	Raw string
 }
 
+// eventOverhead is the approximate memory of an event in bytes, in addition to its text.
+const eventOverhead = 64
+
+// Size returns the approximate memory of the event in bytes.
+func (e *ReplicaEvent) Size() int { return len(e.Data) + len(e.Raw) + eventOverhead }
+
 // EventReader reads complete events. Next returns io.EOF once the stream has ended normally.
 type EventReader interface {
 	Next() (ReplicaEvent, error)
--- a/internal/process/agent/metrics.go
+++ b/internal/process/agent/metrics.go
@@ -200,6 +200,7 @@
 	names := map[task.RunOutcome]string{
 		task.RunCompleted: "completed", task.RunInterrupted: "interrupted", task.RunFailed: "failed",
 		task.RunImpossible: "impossible", task.RunRefused: "refused", task.RunUnreachable: "unreachable", task.RunTimedOut: "silent", task.RunSlow: "slow",
+		task.RunTooLong: "too_long",
 	}
 	m.runs.WithLabelValues(names[outcome]).Observe(took.Seconds())
 	m.queueTimes.Observe(waited.Seconds())
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -20,11 +20,18 @@
 	// progressInterval is the longest time between progress reports to the node, which can
 	// persist only the events reported to it.
 	progressInterval = 250 * time.Millisecond
+	// runEndMargin is added to the time granted to a replica, which stops by then, before its run is cancelled.
+	runEndMargin = time.Second
+	// textBlockBytes is the unit in which memory for the events of a run is reserved.
+	textBlockBytes = 16 << 10
 )
 
+// errTextTooLong is returned for a stream that exceeds the limits of its run.
+var errTextTooLong = errors.New("the text is too long")
+
 // run sends an item to a replica and reads its event stream to the end.
 func (a *Agent) run(ctx context.Context, t task.Run) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, t.Limit+runEndMargin)
 	defer cancel()
 	startedAt := time.Now()
 	result := a.stream(ctx, cancel, t)
@@ -66,14 +73,22 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxControlBytes))
 		return result
 	}
-	reading := runReader{events: a.protocol.NewEventReader(answer), version: a.protocol.Version(answer.Header), last: t.After, reportedAt: time.Now()}
+	buffers := a.newResponseBuffers()
+	defer buffers.end()
+	reading := runReader{
+		events: a.protocol.NewEventReader(answer), version: a.protocol.Version(answer.Header), last: t.After, reportedAt: time.Now(),
+		limits: textLimits{lastID: t.MaxEventID, bytes: t.MaxBytes, buffers: buffers},
+	}
 	for {
 		received, err := reading.next()
 		result.Pace = reading.estimator.pace()
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return result
-		}
-		if err != nil {
+		case errors.Is(err, errTextTooLong), err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+			result.Outcome, result.Events = task.RunTooLong, nil
+			return result
+		case err != nil:
 			result.Outcome = task.RunInterrupted
 			result.Crashed = a.crashedWithError(ctx, t.Address, err)
 			return result
@@ -98,9 +113,38 @@
 	return stop
 }
 
-// runReader reads a run's events and checks that their IDs are consecutive.
+// textLimits limits the events that a run holds. Without limits, a stream that does not end would fill the
+// memory of the node.
+type textLimits struct {
+	// lastID is the ID of the last event allowed, 0 if unknown. bytes is the maximum size of all events.
+	lastID int64
+	bytes  int
+	// buffers reserves memory; used and reserved are sizes in bytes.
+	buffers        *responseBuffers
+	used, reserved int
+}
+
+// add accounts for an event. It fails with errTextTooLong or, if the node has no memory for it, errBuffersFull.
+func (l *textLimits) add(received *port.ReplicaEvent) error {
+	l.used += received.Size()
+	if l.lastID > 0 && received.ID > l.lastID || l.used > l.bytes {
+		return errTextTooLong
+	}
+	if l.used <= l.reserved {
+		return nil
+	}
+	block := max(textBlockBytes, l.used-l.reserved)
+	if !l.buffers.take(block) {
+		return errBuffersFull
+	}
+	l.reserved += block
+	return nil
+}
+
+// runReader reads a run's events and checks their limits and that their IDs are consecutive.
 type runReader struct {
 	events    port.EventReader
+	limits    textLimits
 	version   int64
 	last      int64
 	estimator paceEstimator
@@ -119,17 +163,21 @@
 	if received.ID != r.last+1 {
 		return received, errEventGap
 	}
+	event := port.ReplicaEvent{ID: received.ID, Data: received.Data, Version: r.version}
+	if received.Version > 0 {
+		event.Version = received.Version
+	}
+	if err := r.limits.add(&event); err != nil {
+		return event, err
+	}
 	now := time.Now()
 	r.paceUpdated = r.estimator.observe(now)
 	r.reportDue = r.paceUpdated || now.Sub(r.reportedAt) >= progressInterval
 	if r.reportDue {
 		r.reportedAt = now
 	}
-	r.last = received.ID
-	if received.Version > 0 {
-		r.version = received.Version
-	}
-	return port.ReplicaEvent{ID: received.ID, Data: received.Data, Version: r.version}, nil
+	r.last, r.version = event.ID, event.Version
+	return event, nil
 }
 
 // newPace returns the pace estimate if the last event updated it, or else 0.
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -130,7 +130,7 @@
 		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
 		Place: n.placeItem, PlaceScoring: n.placeScoring, FindEndpoint: n.endpoints.Find, Route: n.Route, StoreClock: n.clock.bounds,
 		StoreLatency: n.Latency, NodeCount: n.NodeCount, Fitness: n.fitness,
-		LengthHint: options.Decoder.LengthHint, MaxEvents: n.maxEvents, ExpectedTokens: n.expectedTokens, ObservedUntil: n.sharedObservedUntil,
+		LengthHint: options.Decoder.LengthHint, MaxEvents: n.maxEvents, MaxTextEvents: n.maxTextEvents, ExpectedTokens: n.expectedTokens, ObservedUntil: n.sharedObservedUntil,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
 	})
 	n.lease = n.newOrderLease()
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -174,6 +174,20 @@
 	return (most + service.EventTokens - 1) / service.EventTokens
 }
 
+// textEventsFactor is the number of events that a text may have, as a multiple of those that its maximum number
+// of tokens takes. An event may hold fewer tokens than most.
+const textEventsFactor = 2
+
+// maxTextEvents returns the number of events that no text of a request exceeds, 0 if unknown. If the number of
+// tokens in an event is unknown, it is taken as one.
+func (n *Node) maxTextEvents(route *port.Route, header http.Header) int {
+	if expected := n.maxEvents(route, header); expected > 0 {
+		return textEventsFactor * expected
+	}
+	_, most := n.options.Decoder.Tokens(header)
+	return textEventsFactor * max(most, 0)
+}
+
 // serviceOf returns the first service of a route, a zero one if it has none or the configuration lacks it.
 func (n *Node) serviceOf(route *port.Route) port.Service {
 	if len(route.Backends) == 0 {
--- a/internal/process/cluster/place_test.go
+++ b/internal/process/cluster/place_test.go
@@ -64,14 +64,15 @@
 		events  int
 		tokens  int
 		most    int
+		longest int
 	}{
-		{"by the hint", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 0, 400, 100},
-		{"by the events so far", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 50, 750, 100},
-		{"the maximum", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 99, 1100, 100},
-		{"the last event is not full", port.Service{Name: "s", EventTokens: 300, MemoryTokens: 5000}, route, 0, 400, 4},
-		{"tokens per event unknown", port.Service{Name: "s", MemoryTokens: 5000}, route, 0, 0, 0},
-		{"memory unknown", port.Service{Name: "s", EventTokens: 10}, route, 0, 0, 100},
-		{"a route without a service", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, &port.Route{Name: "r"}, 0, 0, 0},
+		{"by the hint", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 0, 400, 100, 200},
+		{"by the events so far", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 50, 750, 100, 200},
+		{"the maximum", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, route, 99, 1100, 100, 200},
+		{"the last event is not full", port.Service{Name: "s", EventTokens: 300, MemoryTokens: 5000}, route, 0, 400, 4, 8},
+		{"tokens per event unknown", port.Service{Name: "s", MemoryTokens: 5000}, route, 0, 0, 0, 2000},
+		{"memory unknown", port.Service{Name: "s", EventTokens: 10}, route, 0, 0, 100, 200},
+		{"a route without a service", port.Service{Name: "s", EventTokens: 10, MemoryTokens: 5000}, &port.Route{Name: "r"}, 0, 0, 0, 2000},
 	} {
 		n := newNode()
 		n.options.Decoder = sizedDecoder{}
@@ -82,6 +83,9 @@
 		if got := n.maxEvents(c.route, nil); got != c.most {
 			t.Errorf("%s: at most %d events, want %d", c.name, got, c.most)
 		}
+		if got := n.maxTextEvents(c.route, nil); got != c.longest {
+			t.Errorf("%s: a text may have %d events, want %d", c.name, got, c.longest)
+		}
 	}
 }
 
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -52,6 +52,10 @@
 	// FirstEventTimeout is the timeout for the first event and NextEventTimeout the timeout between two
 	// events.
 	FirstEventTimeout, NextEventTimeout time.Duration
+	// MaxEventID is the ID of the last event that the text may have, 0 if unknown. MaxBytes limits the size
+	// of the run's events.
+	MaxEventID int64
+	MaxBytes   int
 	// Progress is called periodically with the new events of the run and its pace, 0 if there is no new
 	// measurement. Its result reports whether to stop the run with RunSlow.
 	Progress func(now time.Time, events []port.ReplicaEvent, pace time.Duration) (stop bool)
@@ -81,6 +85,9 @@
 	RunUnreachable
 	// RunTimedOut means that the replica did not answer in time.
 	RunTimedOut
+	// RunTooLong means that the stream exceeded the limits of the text or the time granted, so that none of
+	// it can be kept.
+	RunTooLong
 )
 
 // RunResult is the result of a run. Each event carries the version that generated it.
--- a/internal/soak/response.go
+++ b/internal/soak/response.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/doorstep/doorstep/platform/platformtest"
@@ -21,9 +20,23 @@
 // responseFaults are the faults of a model replica's responses.
 var responseFaults = []struct {
 	name string
-	flag func(r *platformtest.Replica) *atomic.Bool
+	set  func(r *platformtest.Replica, faulty bool)
 }{
-	{"malformed events", func(r *platformtest.Replica) *atomic.Bool { return &r.MalformedEvents }},
+	{"malformed events", func(r *platformtest.Replica, faulty bool) { r.MalformedEvents.Store(faulty) }},
+	// Complete events behind the last one could not be told from those of the text.
+	{"comments without end", endless(platformtest.EndlessComments)},
+	{"an event without end", endless(platformtest.EndlessEvent)},
+}
+
+// endless returns a function that starts and ends answers without end of a kind.
+func endless(kind int32) func(r *platformtest.Replica, faulty bool) {
+	return func(r *platformtest.Replica, faulty bool) {
+		if faulty {
+			r.Endless.Store(kind)
+			return
+		}
+		r.Endless.Store(platformtest.NotEndless)
+	}
 }
 
 // injectResponseFaults makes model replicas send faulty responses, one replica at a time.
@@ -38,10 +51,9 @@
 		}
 		s.checker.Increment("response fault: " + fault.name)
 		s.Logf("%6.2f s  response fault of %s: %s for %s", time.Since(s.startedAt).Seconds(), r.ID, fault.name, duration)
-		flag := fault.flag(r.Replica)
-		flag.Store(true)
+		fault.set(r.Replica, true)
 		sleep(ctx, duration)
-		flag.Store(false)
+		fault.set(r.Replica, false)
 	}
 }
 
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -92,6 +92,8 @@
 	LengthHint func(header http.Header) int
 	// MaxEvents returns the maximum number of events of a request's text, or 0 if unknown.
 	MaxEvents func(route *port.Route, header http.Header) int
+	// MaxTextEvents returns the number of events that no text of a request exceeds, or 0 if unknown.
+	MaxTextEvents func(route *port.Route, header http.Header) int
 	// ExpectedTokens returns the memory that a request is expected to use on its replica, given
 	// the number of events generated so far, or 0 if unknown.
 	ExpectedTokens func(route *port.Route, header http.Header, events int) int
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -57,6 +57,9 @@
 	// textCheckpointed is set once the store holds the text marked as complete,
 	// scoreCheckpointed once it also holds the score.
 	textCheckpointed, scoreCheckpointed bool
+	// revokesCheckpoints is set until the store holds a part of this generation, which prevents the next
+	// owner from restoring earlier ones.
+	revokesCheckpoints bool
 	// scoringRound is the current scoring round, nil between rounds; scoringCalls counts the
 	// calls of all rounds.
 	scoringRound *scoringRound
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -12,6 +12,9 @@
 // runTimeout limits the duration of one run of an item.
 const runTimeout = 30 * time.Second
 
+// maxTextBytes limits the size of a text. Its result must fit into one transaction of the store.
+const maxTextBytes = 1 << 20
+
 // placementPatience is how long an item waits for a replica that suits it better than others with capacity.
 const placementPatience = 500 * time.Millisecond
 
@@ -120,6 +123,7 @@
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			return o.onProgress(now, index, run, events, pace)
 		},
+		MaxEventID: int64(o.jobs.options.MaxTextEvents(route, it.header)), MaxBytes: maxTextBytes - sizeOfEvents(it.events),
 		SendBy: chosen.SendBy,
 		Done: func(now time.Time, result task.RunResult) {
 			o.jobs.recordOutcome(now, chosen, o.job.Model, result, now.Sub(sentAt))
@@ -211,6 +215,15 @@
 	return true
 }
 
+// sizeOfEvents returns the memory of events in bytes.
+func sizeOfEvents(events []port.ReplicaEvent) int {
+	total := 0
+	for i := range events {
+		total += events[i].Size()
+	}
+	return total
+}
+
 func lastEvent(events []port.ReplicaEvent) int64 {
 	if len(events) == 0 {
 		return 0
@@ -232,7 +245,7 @@
 		// A replica that resets connections fails immediately and so appears idle. Unless it is
 		// ejected it attracts all waiting items.
 		j.logEjection(id, took, chosen.RecordFailure(now))
-	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow:
+	case task.RunInterrupted, task.RunFailed, task.RunImpossible, task.RunSlow, task.RunTooLong:
 	}
 	if result.Pace > 0 {
 		chosen.UpdatePace(now, result.Pace)
@@ -258,6 +271,11 @@
 	it.avoidEndpoint = ""
 	it.progress, it.progressAt = nil, time.Time{}
 	it.events = append(it.events, result.Events...)
+	if result.Outcome == task.RunTooLong {
+		// Which of the events belong to the text is unknown, including those in checkpoints.
+		it.discardText()
+		it.revokesCheckpoints = true
+	}
 	o.recordVersions(it, result)
 	o.discardInvalidText(index)
 	if o.closing || o.releasing && result.Outcome != task.RunCompleted {
@@ -271,6 +289,10 @@
 		it.avoidEndpoint = it.endpoint
 		it.interruptions++
 		it.notBefore = now.Add(refusedBackoff / 2)
+	case task.RunTooLong:
+		it.avoidEndpoint = it.endpoint
+		it.interruptions++
+		it.notBefore = now.Add(failureBackoff)
 	case task.RunUnreachable:
 		it.avoidEndpoint = it.endpoint
 		it.notBefore = now.Add(refusedBackoff)
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -80,6 +80,7 @@
 		LengthHint:     func(http.Header) int { return 0 },
 		ExpectedTokens: func(*port.Route, http.Header, int) int { return 0 },
 		MaxEvents:      func(*port.Route, http.Header) int { return n.maxEvents },
+		MaxTextEvents:  func(*port.Route, http.Header) int { return 2 * n.maxEvents },
 		StoreClock: func(now time.Time) (time.Duration, time.Duration, bool) {
 			return now.Sub(epoch), now.Sub(epoch), n.clockKnown
 		},
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +27,9 @@
 	// checkpointReadTimeout is how long a new owner waits for checkpoints before it starts
 	// items, extended by twice the store latency. Texts not read by then are generated again.
 	checkpointReadTimeout = 300 * time.Millisecond
+	// incompleteText is the number of events of a text that is not complete. It also makes a part without events
+	// non-empty.
+	incompleteText = -1
 )
 
 // checkpointKey returns the key of the next part of an item's text. The prefix is unique to the
@@ -88,7 +93,7 @@
 	it := &o.items[index]
 	switch it.state {
 	case itemWaiting, itemRunning:
-		return len(it.events)+len(it.progress)-it.checkpointedEvents >= minCheckpointEvents
+		return it.revokesCheckpoints || len(it.events)+len(it.progress)-it.checkpointedEvents >= minCheckpointEvents
 	case itemScoring, itemFinished:
 		return it.textComplete() && (!it.textCheckpointed || it.score != "" && !it.scoreCheckpointed)
 	case itemListed:
@@ -105,6 +110,9 @@
 func (o *ownedJob) checkpointRecord(index int) (port.Record, error) {
 	it := &o.items[index]
 	part := &doorstepv1.KeptText{Score: it.score}
+	if it.revokesCheckpoints {
+		part.WholeEvents = incompleteText
+	}
 	if it.textComplete() {
 		part.WholeEvents = int64(len(it.events))
 	}
@@ -133,6 +141,7 @@
 			it.checkpointedEvents = checkpoint.events
 			it.checkpointParts++
 			it.textCheckpointed, it.scoreCheckpointed = checkpoint.complete, checkpoint.score
+			it.revokesCheckpoints = false
 		}
 	}
 }
@@ -170,27 +179,52 @@
 	})
 }
 
-// restoreTexts restores each item's text from the longest valid checkpoint.
+// storedText is one generation of an item's text, as stored by one of the job's owners.
+type storedText struct {
+	index       int
+	incarnation uint64
+	generation  int
+	content     []byte
+}
+
+// restoreTexts restores each item's text from the longest valid checkpoint. Only the latest generation of
+// each owner counts, as an owner may discard a text because it is not known to be sound.
 func (o *ownedJob) restoreTexts(now time.Time, records []port.Record) {
+	texts := o.storedTexts(records)
+	for i, stored := range texts {
+		if i+1 < len(texts) && texts[i+1].index == stored.index && texts[i+1].incarnation == stored.incarnation {
+			continue
+		}
+		text := &doorstepv1.KeptText{}
+		if proto.Unmarshal(stored.content, text) == nil {
+			o.restoreText(now, stored.index, text)
+		}
+	}
+}
+
+// storedTexts returns the texts in checkpoint records, ordered by item, owner and generation.
+func (o *ownedJob) storedTexts(records []port.Record) []storedText {
+	var texts []storedText
 	for from := 0; from < len(records); {
 		prefix := records[from].Key[:strings.LastIndexByte(records[from].Key, '/')+1]
 		to := from
-		var content []byte
+		stored := storedText{}
 		for to < len(records) && strings.HasPrefix(records[to].Key, prefix) {
 			// Concatenated protobuf encodings decode as the merged message.
-			content = append(content, records[to].Value...)
+			stored.content = append(stored.content, records[to].Value...)
 			to++
 		}
 		from = to
-		index := 0
-		if _, err := fmt.Sscanf(prefix[len(o.id)+len("/t/"):], "%04d/", &index); err != nil || index < 0 || index >= len(o.items) {
+		_, err := fmt.Sscanf(prefix[len(o.id)+len("/t/"):], "%d/%x-%d/", &stored.index, &stored.incarnation, &stored.generation)
+		if err != nil || stored.index < 0 || stored.index >= len(o.items) {
 			continue
 		}
-		text := &doorstepv1.KeptText{}
-		if proto.Unmarshal(content, text) == nil {
-			o.restoreText(now, index, text)
-		}
+		texts = append(texts, stored)
 	}
+	slices.SortFunc(texts, func(a, b storedText) int {
+		return cmp.Or(cmp.Compare(a.index, b.index), cmp.Compare(a.incarnation, b.incarnation), cmp.Compare(a.generation, b.generation))
+	})
+	return texts
 }
 
 // restoreText restores a text if its events are contiguous from the first one.
--- a/internal/version/batch/text_test.go
+++ b/internal/version/batch/text_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +106,47 @@
 		t.Errorf("outcome %d, answered %t", outcome, answered)
 	}
 }
+
+// TestTooLongTextsAreNotRestored guards against a text that holds events of an answer without end, at this owner or at
+// the next one.
+func TestTooLongTextsAreNotRestored(t *testing.T) {
+	store := newStore()
+	n := newTestNode("a", store)
+	n.maxEvents = 5
+	n.accept(newJob("j", 1))
+	n.elapse(200 * time.Millisecond)
+	run := n.takeRuns()[0]
+	if run.MaxEventID != 10 || run.MaxBytes <= 0 {
+		t.Fatalf("limits: event %d, %d bytes", run.MaxEventID, run.MaxBytes)
+	}
+	var events []port.ReplicaEvent
+	for id := int64(1); id <= 8; id++ {
+		events = append(events, port.ReplicaEvent{ID: id, Data: "more", Version: 2})
+	}
+	run.Progress(n.now, events, 0)
+	n.elapse(2 * checkpointInterval)
+	run.Done(n.now, task.RunResult{Outcome: task.RunTooLong})
+	n.elapse(2 * checkpointInterval)
+	if again := n.takeRuns(); len(again) != 1 || again[0].After != 0 {
+		t.Fatalf("runs %v, want one from the start", again)
+	}
+	next := newTestNode("b", store)
+	syncHeads(next)
+	next.elapse(takeoverTimeout + 5*time.Second)
+	if taken := next.takeRuns(); len(taken) == 0 || taken[0].After != 0 {
+		t.Errorf("runs of the next owner %v, want one from the start", taken)
+	}
+}
+
+// TestRunsThatExceedTheTextLimitFail guards against a text that grows by the runs that continue it.
+func TestRunsThatExceedTheTextLimitFail(t *testing.T) {
+	n := newTestNode("a", newStore())
+	n.accept(newJob("j", 1))
+	n.elapse(200 * time.Millisecond)
+	first := n.takeRuns()[0]
+	first.Done(n.now, task.RunResult{Outcome: task.RunInterrupted, Events: []port.ReplicaEvent{{ID: 1, Data: strings.Repeat("x", 1000), Version: 2}}})
+	n.elapse(time.Second)
+	if second := n.takeRuns()[0]; second.After != 1 || second.MaxBytes > first.MaxBytes-1000 {
+		t.Errorf("after event %d: %d bytes of %d are left", second.After, second.MaxBytes, first.MaxBytes)
+	}
+}
