Complete resumed streams only at the end of their events

Cause: an attempt's outcome and 'the caller has the whole stream' were one value. relayBuffered reported Errored after the head of a 200 was sent, Next said Deliver, and forwardStream returned as if the stream were whole. Answers below 500 counted as Answered, whatever attempts were left.

Change: the relay knows that the head was sent; from then on only the end of the events is delivered, and any other answer is a failed attempt.

--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -73,6 +73,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxControlBytes))
 		return result
 	}
+	if !isEventStream(answer) || a.protocol.Signature(answer.Header) == "" {
+		// An empty body would otherwise look like the end of the text.
+		result.Outcome = task.RunInterrupted
+		return result
+	}
 	buffers := a.newResponseBuffers()
 	defer buffers.end()
 	reading := runReader{
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -24,6 +24,8 @@
 	writer     http.ResponseWriter
 	control    *http.ResponseController
 	headerSent bool
+	// delivered is set once the client has received a whole answer.
+	delivered bool
 	// status is the status of the latest replica response.
 	status int
 	last   int64
@@ -51,6 +53,9 @@
 		case relay.Launch:
 			s.attempt(ctx, now)
 		case relay.Deliver:
+			if !s.delivered {
+				s.fail(relay.Decision{Status: http.StatusBadGateway, Reason: relay.ReasonNoAttempt})
+			}
 			return
 		case relay.Fail, relay.Wait:
 			s.fail(decision)
@@ -114,22 +119,35 @@
 	if !s.agent.protocol.NotExecuted(answer.Status, answer.Header) {
 		s.countStarted(sentAt, relay.Answered)
 	}
-	if answer.Status != http.StatusOK || !strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream) {
+	if !isEventStream(answer) {
 		return s.relayBuffered(chosen, answer)
 	}
+	if s.agent.protocol.Signature(answer.Header) == "" {
+		return relay.Broken, errUnsigned
+	}
 	s.writeHeader(answer)
 	return s.relayEvents(answer)
 }
 
-// relayBuffered relays a response that is not an event stream, unless events were already sent.
+// isEventStream reports whether an answer is a successful stream of events.
+func isEventStream(answer *upstream.Answer) bool {
+	return answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStream)
+}
+
+// relayBuffered relays a response that is not an event stream. Once events were sent it is a failed attempt, whatever
+// its status, as it does not continue them.
 func (s *relayedStream) relayBuffered(chosen *endpoint.Endpoint, answer *upstream.Answer) (relay.Outcome, error) {
 	ended := &attempt{endpoint: chosen, status: answer.Status, header: answer.Header}
 	ended.body, ended.err = s.buffers.read(answer)
 	ended.outcome = s.agent.responseOutcome(ended)
+	if s.headerSent && ended.outcome == relay.Answered {
+		return relay.Broken, errNotContinued
+	}
 	if ended.outcome == relay.NotRun || ended.outcome == relay.Broken || s.headerSent {
 		return ended.outcome, ended.err
 	}
 	s.deliver(s.writer, ended)
+	s.delivered = true
 	return relay.Answered, nil
 }
 
@@ -138,6 +156,7 @@
 		return
 	}
 	s.headerSent = true
+	s.relay.RecordHeadSent()
 	copyResponseHeaders(s.writer.Header(), answer.Header)
 	s.writer.WriteHeader(answer.Status)
 	_ = s.control.Flush()
@@ -151,6 +170,7 @@
 			s.agent.log.add(event.RequestAnswered, "request", s.id, "status", answer.Status, "attempts", s.launched,
 				"took_ms", s.agent.since(s.started).Milliseconds(), "last_event", s.last)
 			s.agent.metrics.answer(s.route, answer.Status, s.agent.since(s.started))
+			s.delivered = true
 			return relay.Answered, nil
 		}
 		if err != nil {
@@ -167,5 +187,11 @@
 	}
 }
 
-// errEventGap reports event IDs that are not consecutive.
-var errEventGap = errors.New("event IDs are not consecutive")
+var (
+	// errEventGap reports event IDs that are not consecutive.
+	errEventGap = errors.New("event IDs are not consecutive")
+	// errUnsigned reports an event stream without the replica's signature.
+	errUnsigned = errors.New("the event stream is not signed")
+	// errNotContinued reports an answer that does not continue an event stream.
+	errNotContinued = errors.New("the answer does not continue the event stream")
+)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -93,6 +93,8 @@
 	answered  bool
 	errored   bool
 	ended     bool
+	// streaming is set once the head of a stream was sent to the caller.
+	streaming bool
 }
 
 // New returns the state of a request that arrives now. wait is the caller's timeout, 0 if it has none.
@@ -139,7 +141,12 @@
 	r.evacuated = true
 }
 
-// RecordOutcome records the outcome of an attempt.
+// RecordHeadSent records that the caller has received the head of a stream. From then on only the end of the
+// events completes the answer: a replica's error cannot be delivered anymore.
+func (r *Relay) RecordHeadSent() { r.streaming = true }
+
+// RecordOutcome records the outcome of an attempt. Once the head of a stream was sent, Answered means that the
+// stream has ended.
 func (r *Relay) RecordOutcome(outcome Outcome) {
 	r.open--
 	r.ended = true
@@ -175,7 +182,7 @@
 	if r.open > 0 {
 		return Decision{Action: Wait, Until: r.nextCheck(now)}
 	}
-	if r.errored {
+	if r.errored && !r.streaming {
 		return Decision{Action: Deliver}
 	}
 	if r.evacuated {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -16,6 +16,8 @@
 	launch     bool
 	ended      *Outcome
 	noEndpoint bool
+	// headSent is set if the head of a stream was sent before the attempt ended.
+	headSent   bool
 	want       Action
 	status     int
 	retryAfter bool
@@ -28,6 +30,7 @@
 func TestRelay(t *testing.T) {
 	idempotent := port.Route{Kind: port.RouteIdempotent, MaxAttempts: 2, Timeout: ms(1000), Objective: ms(100)}
 	once := port.Route{Kind: port.RouteNonIdempotent, MaxAttempts: 3, Timeout: ms(1000), Objective: ms(100)}
+	stream := port.Route{Kind: port.RouteStreaming, Resumable: true, MaxAttempts: 3, Timeout: ms(1000)}
 	cases := []struct {
 		name  string
 		route port.Route
@@ -85,6 +88,14 @@
 		{"error response, retried on another replica", idempotent, []step{
 			{launch: true, want: Wait}, {ended: outcome(Errored), want: Launch}, {launch: true, want: Wait}, {ended: outcome(Errored), want: Deliver},
 		}},
+		{"error response to a resumed stream, resumed again", stream, []step{
+			{launch: true, want: Wait}, {headSent: true, ended: outcome(Broken), want: Launch}, {launch: true, want: Wait},
+			{ended: outcome(Errored), want: Launch}, {launch: true, want: Wait}, {ended: outcome(Answered), want: Deliver},
+		}},
+		{"error responses to a resumed stream are not delivered", stream, []step{
+			{launch: true, want: Wait}, {headSent: true, ended: outcome(Broken), want: Launch}, {launch: true, want: Wait},
+			{ended: outcome(Errored), want: Launch}, {launch: true, want: Wait}, {ended: outcome(Errored), want: Fail, status: http.StatusBadGateway},
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -94,6 +105,9 @@
 				if s.launch {
 					r.RecordLaunch(now)
 				}
+				if s.headSent {
+					r.RecordHeadSent()
+				}
 				if s.ended != nil {
 					r.RecordOutcome(*s.ended)
 				}
--- a/internal/soak/response.go
+++ b/internal/soak/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/doorstep/doorstep/platform/platformtest"
@@ -21,11 +22,15 @@
 var responseFaults = []struct {
 	name string
 	set  func(r *platformtest.Replica, faulty bool)
+	// breaking makes all other model replicas break off their streams, so that the replica has to resume some.
+	breaking bool
 }{
-	{"malformed events", func(r *platformtest.Replica, faulty bool) { r.MalformedEvents.Store(faulty) }},
+	{name: "malformed events", set: func(r *platformtest.Replica, faulty bool) { r.MalformedEvents.Store(faulty) }},
 	// Complete events behind the last one could not be told from those of the text.
-	{"comments without end", endless(platformtest.EndlessComments)},
-	{"an event without end", endless(platformtest.EndlessEvent)},
+	{name: "comments without end", set: endless(platformtest.EndlessComments)},
+	{name: "an event without end", set: endless(platformtest.EndlessEvent)},
+	{name: "resumed with status 200", set: resumeStatus(http.StatusOK), breaking: true},
+	{name: "resumed with status 500", set: resumeStatus(http.StatusInternalServerError), breaking: true},
 }
 
 // endless returns a function that starts and ends answers without end of a kind.
@@ -39,6 +44,17 @@
 	}
 }
 
+// resumeStatus returns a function that sets or clears the status of a replica's answers to resumed streams.
+func resumeStatus(status int32) func(r *platformtest.Replica, faulty bool) {
+	return func(r *platformtest.Replica, faulty bool) {
+		if faulty {
+			r.ResumeStatus.Store(status)
+			return
+		}
+		r.ResumeStatus.Store(0)
+	}
+}
+
 // injectResponseFaults makes model replicas send faulty responses, one replica at a time.
 func (s *Soak) injectResponseFaults(ctx context.Context) {
 	random := s.newRand(responseFaultStream)
@@ -52,14 +68,28 @@
 		s.checker.Increment("response fault: " + fault.name)
 		s.Logf("%6.2f s  response fault of %s: %s for %s", time.Since(s.startedAt).Seconds(), r.ID, fault.name, duration)
 		fault.set(r.Replica, true)
+		if fault.breaking {
+			s.breakOtherStreams(r, true)
+		}
 		sleep(ctx, duration)
 		fault.set(r.Replica, false)
+		if fault.breaking {
+			s.breakOtherStreams(r, false)
+		}
 	}
 }
 
-// modelReplica returns a random replica that serves a model, nil if there is none.
-func (s *Soak) modelReplica(random *rand.Rand) *replica {
-	number := random.IntN(1 << 20)
+// breakOtherStreams makes all model replicas but one break off their streams, or stops that.
+func (s *Soak) breakOtherStreams(except *replica, broken bool) {
+	for _, r := range s.modelReplicas() {
+		if r != except {
+			r.BreakStreams.Store(broken)
+		}
+	}
+}
+
+// modelReplicas returns the replicas that serve a model.
+func (s *Soak) modelReplicas() []*replica {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*replica
@@ -68,6 +98,12 @@
 			list = append(list, r)
 		}
 	}
+	return list
+}
+
+// modelReplica returns a random replica that serves a model, nil if there is none.
+func (s *Soak) modelReplica(random *rand.Rand) *replica {
+	number, list := random.IntN(1<<20), s.modelReplicas()
 	if len(list) == 0 {
 		return nil
 	}
