Finish requests in progress within the grace period of a planned stop

Cause: two waits that followed one another, 3 s (6 s with open jobs) for the node and 3 s for requests. No setting held the platform's grace period. With open jobs the sum, 9 s, was longer than it.

Change: shutdown.grace_s (8 s if not given), and one deadline half a second before its end for requests, hand-over, leases and counts, beside one another. The node is driven until it exits. Without requests it exits after 3 s, as before; pulls of trainers end then.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -35,8 +35,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// shutdownTimeout bounds how long in-flight requests may take during a graceful shutdown.
-	shutdownTimeout = 3 * time.Second
 	// pruneInterval is the period between sweeps of idle replica connections.
 	pruneInterval = 2 * time.Second
 )
@@ -87,6 +85,10 @@
 	log            *eventLog
 	metrics        *metrics
 	base           context.Context
+	// connections tracks the connections with a request in progress. pulls is cancelled once the node is about to exit.
+	connections activeConnections
+	pulls       context.Context
+	cancelPulls context.CancelFunc
 	// steps implements the trainer API, which trainerMux routes to.
 	steps      *experiment.Steps
 	trainerMux http.Handler
@@ -146,17 +148,14 @@
 	a := newAgent(serving, options)
 	go a.log.run(serving)
 	server := a.newServer(http.HandlerFunc(a.serve))
+	server.ConnState = a.connections.observe
 	probes := a.newServer(http.HandlerFunc(a.serveReadiness))
 	go func() { _ = server.Serve(requests) }()
 	go func() { _ = probes.Serve(readiness) }()
 	a.serveMetrics(serving)
-	a.loop(ctx, serving, options)
-	if abort.Err() == nil {
-		shutdown, cancel := context.WithTimeout(abort, shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(shutdown)
-		_ = probes.Shutdown(shutdown)
-	}
+	a.loop(ctx, serving, options, server)
+	_ = server.Close()
+	_ = probes.Close()
 	a.log.add(event.ProcessStopped, "node", options.Settings.Name)
 	a.log.drain()
 	return nil
@@ -172,6 +171,7 @@
 		duties: newDutyCaller(options), runCancels: map[uint64]context.CancelFunc{}, jobWaiters: map[string]chan struct{}{},
 	}
 	a.startedAt = a.clock.Now()
+	a.pulls, a.cancelPulls = context.WithCancel(base)
 	a.leaseContext, a.cancelLeaseContext = context.WithCancel(base)
 	a.log = newEventLog(options.Log, func() time.Duration { return time.Duration(a.storeClockOffset.Load()) + a.since(a.startedAt) })
 	a.metrics = newMetrics(a)
@@ -179,7 +179,8 @@
 	a.steps = a.newSteps()
 	a.trainerMux = a.newTrainerMux()
 	a.node = cluster.New(a.startedAt, cluster.Options{
-		Name: options.Settings.Name, Topology: options.Settings.Topology(), Cold: options.Settings.Cold, Incarnation: options.Incarnation, Decoder: options.Protocol,
+		GracePeriod: options.Settings.Shutdown.Grace(),
+		Name:        options.Settings.Name, Topology: options.Settings.Topology(), Cold: options.Settings.Cold, Incarnation: options.Incarnation, Decoder: options.Protocol,
 		OrderPause: options.Settings.Orders.Pause(), Duties: dutiesFromSettings(options.Settings),
 		WallClockOffset: func() time.Duration { return -a.clock.Suspended() }, LargeList: options.Settings.Store.LargeList,
 		ProcessorShare: options.Settings.Processor.Share,
@@ -198,17 +199,20 @@
 }
 
 // loop drives the node until its graceful shutdown is complete.
-func (a *Agent) loop(ctx, serving context.Context, options Options) {
+func (a *Agent) loop(ctx, serving context.Context, options Options, server *http.Server) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
 	stopping := ctx.Done()
+	var drained <-chan struct{}
 	for {
-		finished := false
+		canExit, mustExit := false, false
 		select {
 		case <-serving.Done():
 			return
+		case <-drained:
+			return
 		case <-stopping:
 			stopping = nil
 			a.do(func(now time.Time) { a.node.Stop(now) })
@@ -219,12 +223,15 @@
 		case <-ticker.C:
 			a.do(func(now time.Time) {
 				a.node.Tick(now)
-				finished = a.node.CanExit(now)
+				canExit, mustExit = a.node.CanExit(now), a.node.MustExit(now)
 			})
 		}
-		if finished {
+		if mustExit {
 			return
 		}
+		if canExit && drained == nil {
+			drained = a.drain(serving, server)
+		}
 	}
 }
 
--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -104,6 +104,7 @@
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), maxWait)
 	defer cancel()
+	defer context.AfterFunc(a.pulls, cancel)()
 	reply := a.steps.Pull(ctx, step)
 	if reply.Status != experiment.Done {
 		a.refuseStep(w, reply)
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -30,9 +30,6 @@
 const (
 	// readinessTimeout is how long the store may go unanswered before the node reports itself not ready.
 	readinessTimeout = 2500 * time.Millisecond
-	// shutdownDelay is how long a stopping node keeps accepting connections, so that clients and load
-	// balancers can notice.
-	shutdownDelay = 3 * time.Second
 	// LeasePartition is the partition of the shared table that holds the leases.
 	LeasePartition = "leases"
 )
@@ -60,6 +57,9 @@
 	// WallClockOffset returns how far the node's wall clock is ahead of the times passed to its methods; nil
 	// if those are wall clock times.
 	WallClockOffset func() time.Duration
+	// GracePeriod is the time from a request to stop until the process is killed; 0 means
+	// DefaultGracePeriod.
+	GracePeriod time.Duration
 	// Duties are the platform calls made by one node at a time.
 	Duties Duties
 	// ProcessorShare is the fraction of a core available to this node, 0 if unknown.
@@ -257,30 +257,6 @@
 	return now.Sub(answered) <= readinessTimeout
 }
 
-// Stop starts a graceful shutdown: duties are handed over while requests are still served.
-func (n *Node) Stop(now time.Time) {
-	if n.Stopping() {
-		return
-	}
-	n.stoppingAt = now
-	n.queue.Log(event.ProcessStopping, "node", n.options.Name)
-	for _, lease := range n.sortedLeases() {
-		lease.Resign(now)
-	}
-	n.jobs.Stop(now)
-	n.removeStatus()
-}
-
-// Stopping reports whether a graceful shutdown has started.
-func (n *Node) Stopping() bool { return !n.stoppingAt.IsZero() }
-
-// CanExit reports whether a stopping node may exit: clients have had time to notice, jobs are handed over and
-// usage counts are stored. It waits for the latter two only for a limited time.
-func (n *Node) CanExit(now time.Time) bool {
-	stopping := now.Sub(n.stoppingAt)
-	return n.Stopping() && stopping >= shutdownDelay && (n.jobs.OwnedCount() == 0 || stopping >= 2*shutdownDelay) && (n.usageFlushed() || stopping >= usageFlushTimeout)
-}
-
 // applyRoutes activates a route table unless a newer version is already active.
 func (n *Node) applyRoutes(now time.Time, table *port.RouteTable) {
 	if n.routes != nil && table.Version <= n.routes.Version() {
--- a/internal/process/cluster/cluster_test.go
+++ b/internal/process/cluster/cluster_test.go
@@ -85,6 +85,28 @@
 	}
 }
 
+// TestShutdownFitsIntoTheGracePeriod guards against a node that is killed while it still waits, and against one that
+// gives up requests long before.
+func TestShutdownFitsIntoTheGracePeriod(t *testing.T) {
+	for _, c := range []struct{ grace, canExit, mustExit time.Duration }{
+		{0, shutdownDelay, DefaultGracePeriod - stopMargin},
+		{30 * time.Second, shutdownDelay, 30*time.Second - stopMargin},
+		{4 * time.Second, 2 * time.Second, 4*time.Second - stopMargin},
+		{600 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		n := newNode()
+		n.options.GracePeriod = c.grace
+		n.Stop(start)
+		const tick = time.Millisecond
+		if n.CanExit(start.Add(c.canExit-tick)) || !n.CanExit(start.Add(c.canExit)) {
+			t.Errorf("grace period %s: the node must be able to exit after %s", c.grace, c.canExit)
+		}
+		if n.MustExit(start.Add(c.mustExit-tick)) || !n.MustExit(start.Add(c.mustExit)) {
+			t.Errorf("grace period %s: the node must exit after %s", c.grace, c.mustExit)
+		}
+	}
+}
+
 func TestStoreClock(t *testing.T) {
 	clock := storeClock{base: start}
 	if _, _, known := clock.bounds(start); known {
--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -25,9 +25,6 @@
 	scalingLeaseKey = "scaling"
 )
 
-// usageFlushTimeout bounds how long a stopping node waits for its usage counts to be stored.
-const usageFlushTimeout = shutdownDelay + 2*time.Second
-
 // Duties configures the platform calls that are made by one node at a time. A duty that is not set is
 // not performed.
 type Duties struct {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -33,6 +33,7 @@
 	Duties    Duties       `koanf:"duties"`
 	Cold      Cold         `koanf:"cold"`
 	Tenants   Tenants      `koanf:"tenants"`
+	Shutdown  Shutdown     `koanf:"shutdown"`
 	Processor Processor    `koanf:"processor"`
 	Memory    Memory       `koanf:"memory"`
 	Log       Log          `koanf:"log"`
@@ -132,6 +133,15 @@
 // Revocation returns the maximum age of the configuration with Strict.
 func (t Tenants) Revocation() time.Duration { return time.Duration(t.RevocationMs) * time.Millisecond }
 
+// Shutdown configures the graceful shutdown.
+type Shutdown struct {
+	// GraceS is the time from SIGTERM until the process is killed, in seconds; 0 if unknown.
+	GraceS float64 `koanf:"grace_s" validate:"min=0,max=86400"`
+}
+
+// Grace returns the time from SIGTERM until the process is killed, 0 if unknown.
+func (s Shutdown) Grace() time.Duration { return Seconds(s.GraceS) }
+
 // Memory limits the memory of the process.
 type Memory struct {
 	// LimitMb is the memory limit in megabytes; 0 for no limit.
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -264,7 +264,12 @@
 		return
 	}
 	undisturbed := s.undisturbedFor() > minUndisturbed
-	n.stopping.Store(true)
+	if n.stopping.CompareAndSwap(false, true) {
+		s.startLongRequests(n)
+	} else {
+		// A second signal terminates the process at once.
+		s.markDisturbance()
+	}
 	if err := n.process.Stop(stopTimeout); err != nil && undisturbed && s.undisturbedFor() > minUndisturbed {
 		s.checker.AddViolation("%s: %s", n.name, err)
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -115,6 +115,12 @@
 		return
 	}
 	s.checker.RecordResponse(id, fmt.Sprintf("POST %s %s", path, body), response)
+	s.checkInterruption(n, id, response, undisturbed)
+}
+
+// checkInterruption checks that a graceful shutdown did not close the connection of a request that was running.
+// undisturbed reports whether no fault affected the node when the request was sent.
+func (s *Soak) checkInterruption(n *node, id string, response platformtest.Response, undisturbed bool) {
 	if response.Err != nil && undisturbed && s.undisturbedFor() > minUndisturbed && n.stopping.Load() && s.checker.HasRun(id) {
 		s.checker.AddViolation("request %s was interrupted by the graceful shutdown of %s: %s", id, n.name, response.Err)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -23,8 +23,8 @@
 const (
 	// startTimeout is the maximum time until a started node serves requests.
 	startTimeout = 15 * time.Second
-	// stopTimeout is the maximum duration of a graceful shutdown.
-	stopTimeout = 10 * time.Second
+	// stopTimeout is the maximum duration of a graceful shutdown, the nodes' default grace period.
+	stopTimeout = 8 * time.Second
 	// recoveryTimeout is how long the deployment may take to complete all jobs after the last fault.
 	recoveryTimeout = 30 * time.Second
 )
@@ -197,7 +197,7 @@
 // the version.
 func (s *Soak) writeConfiguration() int64 {
 	version := s.configVersion.Load() + 1
-	s.store.Put("op", "config", platformtest.WithTenants(withAllowedRegion(withColdLimits(platformtest.ProbeConfiguration(int(version)))), platformtest.Tenant{
+	s.store.Put("op", "config", platformtest.WithTenants(withAllowedRegion(withColdLimits(platformtest.WithLongRequests(platformtest.ProbeConfiguration(int(version))))), platformtest.Tenant{
 		Name: tenant, Keys: []string{permanentKey, generationKey(version)},
 	}))
 	s.configVersion.Store(version)
