Abort responses to clients that closed their connection

Callers saw: a client that closes the sending direction of its connection and still reads got a 200 with an empty body; on a streaming route the events so far and the end of a complete answer.

Cause: net/http cancels the context of a request when either direction is closed. The handlers returned, and a handler that returns sends a 200, or ends the stream it is in.

Change: abortResponse closes the connection without a complete answer, unless the stream was already passed on in full.

--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -32,7 +32,7 @@
 			ended := x.wait(clientCtx, decision.Until)
 			if clientCtx.Err() != nil {
 				a.log.add(event.RequestRefused, "request", x.id, "reason", "client disconnected")
-				return
+				abortResponse()
 			}
 			if ended != nil && (ended.outcome == relay.Answered || ended.outcome == relay.Errored) {
 				last = ended
@@ -49,6 +49,11 @@
 	}
 }
 
+// abortResponse ends the handler of a request without a complete response. A handler that returns without having
+// written anything, or in the middle of a stream, would send one that looks complete. A client that has closed only the
+// sending direction of its connection still reads it.
+func abortResponse() { panic(http.ErrAbortHandler) }
+
 // launch starts the next attempt if a replica is available.
 func (x *exchange) launch(ctx context.Context, now time.Time) {
 	chosen := x.choose()
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -61,8 +61,8 @@
 			s.fail(decision)
 			return
 		}
-		if s.clientGone || clientCtx.Err() != nil {
-			return
+		if !s.delivered && (s.clientGone || clientCtx.Err() != nil) {
+			abortResponse()
 		}
 	}
 }
@@ -76,7 +76,7 @@
 		return
 	}
 	s.agent.log.add(event.RequestRefused, "request", s.id, "reason", "stream interrupted: "+decision.Reason, "last_event", s.last)
-	panic(http.ErrAbortHandler)
+	abortResponse()
 }
 
 func (s *relayedStream) attempt(ctx context.Context, now time.Time) {
