Skip informational answers, whatever their headers say

Cause: http.ReadResponse returns informational answers. upstream skipped one only if it had no ID, as if it were a surplus answer; with an ID it was a signed success without a body, which net/http completes with a 200 of its own. Evidence, on the code before: 71 prefixes of such an answer and the whole one are taken for an answer with status 103, and two of seven cuts give a 200 with an empty body on all three routes; each prefix of seven other answers is none.

Change: readHead skips informational answers within the limit of a head, and refuses statuses below 100 and 101.

Tests, failing before: TestPrefixesOfAnswersAreNotComplete, TestUnexpectedStatuses (3 of 3), TestCutAnswersAreNotDelivered.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -68,6 +68,9 @@
 // errHeadTooLarge is returned if the head of an answer exceeds maxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
+// errUnexpectedStatus is returned for a status below 100, and for a change of protocol, which no call requests.
+var errUnexpectedStatus = errors.New("the answer has an unexpected status")
+
 // errDeadlinePassed is returned if a call was not sent because its deadline had passed.
 var errDeadlinePassed = errors.New("deadline passed before the call was sent")
 
@@ -130,11 +133,22 @@
 	return n, err
 }
 
-// readHead reads the head of an answer.
+// readHead reads the head of an answer, skipping informational ones: whatever their header says, they are not the
+// answer to a request.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.headLimited, c.headLeft = true, maxHeadBytes+maxReadAhead
 	defer func() { c.headLimited = false }()
-	return http.ReadResponse(c.reader, request)
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		case response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errUnexpectedStatus
+		}
+	}
 }
 
 // Answer is a replica's answer whose body has yet to be read.
