Close connections with a large surplus answer

Callers saw nothing so far; a test did. A surplus answer of more than 64 KiB was skipped up to that limit, and the rest of its body was read as the head of the next answer: a body that contains an answer with the request's ID was delivered as the answer (TestLargeSurplusAnswers, failing before with status 200 and the embedded body).

Cause: the limit cut the body instead of failing. Change: a surplus answer over the limit fails the attempt, and the connection is closed.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -225,9 +225,13 @@
 	if mismatched.Close || !framed(mismatched) {
 		return nil, errMismatchedAnswer
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(mismatched.Body, maxMismatchedBody)); err != nil {
+	drained, err := io.Copy(io.Discard, io.LimitReader(mismatched.Body, maxMismatchedBody+1))
+	if err != nil {
 		return nil, err
 	}
+	if drained > maxMismatchedBody {
+		return nil, errMismatchedAnswer
+	}
 	return conn.readHead(request)
 }
 
