--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -22,13 +22,8 @@
 	progressInterval = 250 * time.Millisecond
 	// runEndMargin is added to the time granted to a replica, which stops by then, before its run is cancelled.
 	runEndMargin = time.Second
-	// textBlockBytes is the unit in which memory for the events of a run is reserved.
-	textBlockBytes = 16 << 10
 )
 
-// errTextTooLong is returned for a stream that exceeds the limits of its run.
-var errTextTooLong = errors.New("the text is too long")
-
 // run sends an item to a replica and reads its event stream to the end.
 func (a *Agent) run(ctx context.Context, t task.Run) {
 	ctx, cancel := context.WithTimeout(ctx, t.Limit+runEndMargin)
@@ -118,34 +113,6 @@
 	return stop
 }
 
-// textLimits limits the events that a run holds. Without limits, a stream that does not end would fill the
-// memory of the node.
-type textLimits struct {
-	// lastID is the ID of the last event allowed, 0 if unknown. bytes is the maximum size of all events.
-	lastID int64
-	bytes  int
-	// buffers reserves memory; used and reserved are sizes in bytes.
-	buffers        *responseBuffers
-	used, reserved int
-}
-
-// add accounts for an event. It fails with errTextTooLong or, if the node has no memory for it, errBuffersFull.
-func (l *textLimits) add(received *port.ReplicaEvent) error {
-	l.used += received.Size()
-	if l.lastID > 0 && received.ID > l.lastID || l.used > l.bytes {
-		return errTextTooLong
-	}
-	if l.used <= l.reserved {
-		return nil
-	}
-	block := max(textBlockBytes, l.used-l.reserved)
-	if !l.buffers.take(block) {
-		return errBuffersFull
-	}
-	l.reserved += block
-	return nil
-}
-
 // runReader reads a run's events and checks their limits and that their IDs are consecutive.
 type runReader struct {
 	events    port.EventReader
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -24,7 +24,7 @@
 	writer     http.ResponseWriter
 	control    *http.ResponseController
 	headerSent bool
-	// delivered is set once the client has received a whole answer.
+	// delivered is set once the client has received a complete response.
 	delivered bool
 	// status is the status of the latest replica response.
 	status int
