Check the last event of a text whose end was lost

Cause: the run was interrupted after the end of the text and before its limits, as an event came late, so that the false events stayed. The next replica had no event behind them and ended its stream, which counted as the end of the text.

Change: if a run finds no event behind the last one, that replica is asked for the last event again. The text is complete if it comes again, and discarded otherwise (event 922); what was stored of it is superseded.

Tests: TestLastEventIsCheckedIfTheEndWasLost (five rows; such a text was listed at once before).

--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -84,6 +84,7 @@
 	ScoringWithoutRoute          = 919
 	RunMoved                     = 920
 	ItemsOverdue                 = 921
+	TextNotSound                 = 922
 	UsageAggregated              = 950
 	UsageReported                = 951
 	UsageLost                    = 952
@@ -169,6 +170,7 @@
 	{ScoringWithoutRoute, Warn, "scoring call has no route", "The current configuration has no route for the item's scoring call. The call waits for one until the item may be abandoned."},
 	{RunMoved, Info, "run moved", "The item continues on a faster replica. reason gives the cause, pace_us and best_us the time per event on both replicas, left_ms the time until the results are due."},
 	{ItemsOverdue, Warn, "items overdue", "Items of the job have been waiting for a replica for seconds. reason says why they are not running, count how many there are, waited_ms how long the first of them has been waiting. item_ids names up to eight of them."},
+	{TextNotSound, Warn, "text not sound", "The item's text exceeded its limits, or another replica does not generate its last event. It is generated again from the start."},
 	{UsageAggregated, Info, "usage gathered", "The counts of a window were added up and stored. stood tells that a previous holder had already stored a sum."},
 	{UsageReported, Info, "usage reported", "The report of a window was sent to the platform. status is its answer, late tells that the report was overdue."},
 	{UsageLost, Warn, "usage lost", "Counted requests will be missing from all reports. reason gives the cause."},
--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -60,6 +60,9 @@
 	// revokesCheckpoints is set until the store holds a part of this generation, which prevents the next
 	// owner from restoring earlier ones.
 	revokesCheckpoints bool
+	// checkingEnd is set if a run found no event behind the text's last one. The next run generates the last
+	// event again to check that it belongs to the text.
+	checkingEnd bool
 	// scoringRound is the current scoring round, nil between rounds; scoringCalls counts the
 	// calls of all rounds.
 	scoringRound *scoringRound
@@ -182,6 +185,11 @@
 		it.notBefore = now.Add(refusedBackoff)
 		return
 	}
+	if len(last.Events) == 0 {
+		// Either the end of the last run was lost, or its last events did not belong to the text.
+		it.checkingEnd = true
+		return
+	}
 	it.textCompletedAt = now
 	it.finalEvents = len(it.events)
 	o.jobs.options.Quarantine.RecordAnswer(now, it.request)
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -90,9 +90,14 @@
 	if it.selective(now) {
 		avoid, exclude = it.avoidEndpoint, o.isolationExcludes(it)
 	}
+	prefer := o.promptEndpoints[content.Group]
+	if it.checkingEnd {
+		// This replica found no event behind the last one, so it did not generate events that do not exist.
+		prefer = it.endpoint
+	}
 	chosen := o.jobs.options.Place(now, Placement{
 		Route: route, Tenant: o.job.Tenant, Model: o.job.Model, MinVersion: o.job.MinVersion,
-		Prefer: o.promptEndpoints[content.Group], Avoid: avoid, Exclude: exclude, Long: it.long, Tokens: tokens,
+		Prefer: prefer, Avoid: avoid, Exclude: exclude, Long: it.long, Tokens: tokens,
 	})
 	if chosen == nil {
 		return false
@@ -111,16 +116,20 @@
 	if it.runs == 1 {
 		it.startedAt = now
 	}
-	run := it.runID
+	run, checkingEnd := it.runID, it.checkingEnd
 	sentAt := now
 	reservation := &tokenReservation{endpoint: chosen}
 	reservation.set(tokens)
 	it.reservation = reservation
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
-		Header: it.header.Clone(), Body: content.Body, Tenant: o.job.Tenant, Limit: runTimeout, Waited: now.Sub(it.waitingSince), After: lastEvent(it.events), Urgent: it.long,
+		Header: it.header.Clone(), Body: content.Body, Tenant: o.job.Tenant, Limit: runTimeout, Waited: now.Sub(it.waitingSince), After: it.resumeAfter(), Urgent: it.long,
 		FirstEventTimeout: firstEventLimit(now, chosen, it.interruptions), NextEventTimeout: o.nextEventLimit(it, route),
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
+			if checkingEnd {
+				// The first event is already part of the text.
+				events = nil
+			}
 			return o.onProgress(now, index, run, events, pace)
 		},
 		MaxEventID: int64(o.jobs.options.MaxTextEvents(route, it.header)), MaxBytes: maxTextBytes - sizeOfEvents(it.events),
@@ -270,11 +279,8 @@
 	it.waitingSince = now
 	it.avoidEndpoint = ""
 	it.progress, it.progressAt = nil, time.Time{}
-	it.events = append(it.events, result.Events...)
-	if result.Outcome == task.RunTooLong {
-		// Which of the events belong to the text is unknown, including those in checkpoints.
-		it.discardText()
-		it.revokesCheckpoints = true
+	if !it.appendRun(&result) {
+		o.jobs.options.Queue.Log(event.TextNotSound, "job", o.id, "item", o.job.Items[index].Id, "replica", it.endpoint, "outcome", int(result.Outcome))
 	}
 	o.recordVersions(it, result)
 	o.discardInvalidText(index)
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -152,6 +152,44 @@
 	i.generation++
 	i.checkpointedEvents, i.checkpointParts = 0, 0
 	i.textCheckpointed, i.scoreCheckpointed = false, false
+	i.checkingEnd = false
+}
+
+// resumeAfter returns the ID of the event after which the next run continues.
+func (i *item) resumeAfter() int64 {
+	last := lastEvent(i.events)
+	if i.checkingEnd {
+		return last - 1
+	}
+	return last
+}
+
+// appendRun adds the events of a run that has ended. It returns false if the text was discarded, as it is not known to
+// be sound. A run that confirms the last event completes the text, whatever its outcome, as the run before found no event
+// behind it.
+func (i *item) appendRun(result *task.RunResult) bool {
+	events := result.Events
+	sound := result.Outcome != task.RunTooLong
+	if i.checkingEnd && sound {
+		switch {
+		case len(events) > 0 && events[0].Data == i.events[len(i.events)-1].Data:
+			i.checkingEnd = false
+			events = events[1:]
+			if len(events) == 0 {
+				result.Outcome = task.RunCompleted
+			}
+		case len(events) > 0 || result.Outcome == task.RunCompleted:
+			sound = false
+		}
+	}
+	if !sound {
+		// Which of the events belong to the text is unknown, including those in checkpoints.
+		i.discardText()
+		i.revokesCheckpoints = true
+		return false
+	}
+	i.events = append(i.events, events...)
+	return true
 }
 
 // readCheckpoints reads the checkpoints written by former owners.
--- a/internal/version/batch/text_test.go
+++ b/internal/version/batch/text_test.go
@@ -150,3 +150,49 @@
 		t.Errorf("after event %d: %d bytes of %d are left", second.After, second.MaxBytes, first.MaxBytes)
 	}
 }
+
+// TestLastEventIsCheckedIfTheEndWasLost guards against events that a replica sent behind the end of a text, and that
+// become part of it if the answer breaks off.
+func TestLastEventIsCheckedIfTheEndWasLost(t *testing.T) {
+	event := func(id int64, data string) port.ReplicaEvent {
+		return port.ReplicaEvent{ID: id, Data: data, Version: 2}
+	}
+	for name, c := range map[string]struct {
+		// interrupted are the events of the first run, again those of the run that generates its last event again.
+		interrupted, again []port.ReplicaEvent
+		sound              bool
+		text               string
+	}{
+		"the end was lost":       {[]port.ReplicaEvent{event(1, "a"), event(2, "b")}, []port.ReplicaEvent{event(2, "b")}, true, "a\nb"},
+		"the text goes on":       {[]port.ReplicaEvent{event(1, "a"), event(2, "b")}, []port.ReplicaEvent{event(2, "b"), event(3, "c")}, true, "a\nb\nc"},
+		"no such event":          {[]port.ReplicaEvent{event(1, "a"), event(2, "b"), event(3, "more")}, nil, false, ""},
+		"another event":          {[]port.ReplicaEvent{event(1, "a"), event(2, "more")}, []port.ReplicaEvent{event(2, "b")}, false, ""},
+		"another, and no others": {[]port.ReplicaEvent{event(1, "more")}, []port.ReplicaEvent{event(1, "a")}, false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode("a", newStore())
+			n.accept(newJob("j", 1))
+			next := func(after int, outcome task.RunOutcome, events []port.ReplicaEvent) {
+				t.Helper()
+				n.elapse(time.Second)
+				runs := n.takeRuns()
+				if len(runs) != 1 || runs[0].After != int64(after) {
+					t.Fatalf("runs %v, want one after event %d", runs, after)
+				}
+				runs[0].Done(n.now, task.RunResult{Outcome: outcome, Events: events})
+				n.runTasks()
+			}
+			next(0, task.RunInterrupted, c.interrupted)
+			next(len(c.interrupted), task.RunCompleted, nil)
+			next(len(c.interrupted)-1, task.RunCompleted, c.again)
+			if !c.sound {
+				next(0, task.RunCompleted, []port.ReplicaEvent{event(1, "x")})
+				c.text = "x"
+			}
+			n.elapse(time.Second)
+			if got := n.results(t, "j"); len(got) != 1 || !got[0].Completed || got[0].Message != c.text {
+				t.Errorf("results %v, want %q", got, c.text)
+			}
+		})
+	}
+}
