List results when they are ready

Callers saw: late in a job, results that were complete could not be read until the groups that the client had asked for were complete, or until a flush that was scheduled by the rhythm in which one client reads, up to 600 ms past the result deadline. A store or an owner that went away meanwhile made late what was ready.

Cause: batch/holdback.go, flush.go and forecast.go kept finished items unlisted by the share of the result deadline that had passed, and by a forecast.

Change: a finished item waits 25 ms at the most, at every age of a job, so that results that finish together share a write; the last twelve items of a job do not wait.

--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -117,7 +117,6 @@
 	sortByLength(order, func(index int) int { return hints[index] })
 	o.markLong(order, hints)
 	o.startOrder = order
-	o.groupOf, o.groups = groupsOf(o.job)
 }
 
 func itemHeader(item *doorstepv1.BatchItem) http.Header {
--- a/internal/version/batch/listing.go
+++ b/internal/version/batch/listing.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// listingDelay is how long a finished item waits to be listed together with others. It
-	// doesn't apply to the lastItems items of a job.
+	// listingDelay is how long a finished item waits to share a write with others. The last
+	// lastItems items of a job do not wait, as there is little left to share a write with.
 	listingDelay = 25 * time.Millisecond
 	lastItems    = 12
 	// maxResultsPerTransaction limits the results listed by one transaction.
@@ -25,7 +25,6 @@
 	if o.committing || now.Before(o.retryAt) {
 		return
 	}
-	o.groupsCompleteAt = o.forecastCompletion(now)
 	ready := o.readyItems(now)
 	unrecorded := o.unrecordedFailures()
 	if len(ready) == 0 && len(unrecorded) == 0 && now.Sub(o.headSentAt) < heartbeatInterval && !o.clearOwner {
@@ -41,8 +40,6 @@
 			continue
 		}
 		if len(puts) > 0 && sizeOf(puts)+sizeOf(records) > maxTransactionBytes {
-			// The scheduled flush is incomplete, so flush again.
-			o.flushes = flushSchedule{}
 			break
 		}
 		puts = append(puts, records...)
@@ -128,17 +125,10 @@
 	}
 }
 
-// readyItems returns the finished items to be listed now.
+// readyItems returns the finished items to be listed now. None waits longer than listingDelay for others.
 func (o *ownedJob) readyItems(now time.Time) []int {
 	var ready []int
-	mode := notHeld
-	if !o.releasing {
-		mode = o.flushMode(now)
-	}
-	if mode == noFlush {
-		return nil
-	}
-	due := o.releasing || mode == fullFlush || int(o.head.Total-o.head.Listed) <= lastItems
+	due := o.releasing || int(o.head.Total-o.head.Listed) <= lastItems
 	for i := range o.items {
 		if o.items[i].state != itemFinished {
 			continue
@@ -146,9 +136,6 @@
 		ready = append(ready, i)
 		due = due || now.Sub(o.items[i].finishedAt) >= listingDelay
 	}
-	if mode == partialFlush {
-		return ready[:min(max(len(ready)-flushReserve, 0), maxResultsPerTransaction)]
-	}
 	if !due && len(ready) < maxResultsPerTransaction {
 		return nil
 	}
@@ -197,8 +184,6 @@
 	default:
 		// The heartbeat is still due.
 		o.headSentAt = o.writtenAt
-		// The results of the scheduled flush were not listed.
-		o.flushes = flushSchedule{}
 		o.retryAt = now.Add(o.backoff)
 		o.backoff = min(2*o.backoff, maxBackoff)
 	}
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -60,16 +60,8 @@
 	releasing, closing, stopped bool
 	// clearOwner is set once the next head record may name no owner.
 	clearOwner bool
-	// groupOf holds the group number of each item, or -1 for items without a group; groups is
-	// the number of groups.
-	groupOf []int
-	groups  int
-	// groupsCompleteAt is when the groups requested by the client are expected to be complete,
-	// or zero if unknown.
-	groupsCompleteAt time.Time
 	// noReplica is set while the job's home regions have no replica.
 	noReplica bool
-	flushes   flushSchedule
 	// checkpointing is set while a checkpoint is being written.
 	checkpointing  bool
 	checkpointedAt time.Time
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -217,3 +217,38 @@
 		n.finish(run, task.RunInterrupted, 2, 12)
 	}
 }
+
+const (
+	// progressDeadline is the result deadline of a node from newProgressNode, progressPace the pace that its runs
+	// report.
+	progressDeadline = 8 * time.Second
+	progressPace     = 50 * time.Millisecond
+)
+
+// newGroupedJob returns a job with groups of four items, of which the client requests a number.
+func newGroupedJob(groups, desired int) *doorstepv1.BatchJob {
+	job := newJob("j", 4*groups)
+	job.DesiredGroups = int32(desired)
+	for i, batchItem := range job.Items {
+		batchItem.Group = fmt.Sprint("g", i/4)
+	}
+	return job
+}
+
+// newProgressNode returns a node with a running job of four groups of four items and its age.
+func newProgressNode(t *testing.T, desired int, age time.Duration) (*testNode, []task.Run) {
+	t.Helper()
+	n := newTestNode("a", newStore())
+	n.route.ResultDeadline = progressDeadline
+	n.maxEvents = 140
+	n.accept(newGroupedJob(4, desired))
+	n.elapse(200 * time.Millisecond)
+	n.now = epoch.Add(age)
+	return n, n.takeRuns()
+}
+
+// reportProgress reports the progress of a run to its owner.
+func (n *testNode) reportProgress(run task.Run, count int) {
+	run.Progress(n.now, make([]port.ReplicaEvent, count), progressPace)
+	n.runTasks()
+}
