Hedge requests by the replicas' response times

Callers saw: a repeatable request that waited for a replica got its second attempt after half of the route's target latency, whatever its replicas and its caller's timeout are like. A slow route with a short target sent every request twice; on a fast route with a long target a request at a replica that had fallen silent waited for seconds; a caller with too little time left for another answer cost the replicas a copy all the same; and a copy took the place of other callers' requests where all slots were taken.

Cause: relay.New took the wait as a share of Route.Objective. Scoring calls of items use the same code.

Change: each node estimates the response time of each route from complete answers (mean and deviation, RFC 6298). A second attempt starts once the first takes longer than almost all requests do; before the first answer, at half of the caller's time, so that both attempts get as much. It needs time left for an average answer and a replica with a free slot; without one it is tried again after as long. A hedged attempt that finds no replica no longer prevents the retry of the first. Objective is read by no decision any more.

In TestRelay the row of a hedged request keeps its times: it states the response time in place of the target.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/doorstep/doorstep/internal/connection/upstream"
 	"github.com/doorstep/doorstep/internal/port"
+	"github.com/doorstep/doorstep/internal/process/cluster"
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
@@ -65,9 +66,11 @@
 func (a *Agent) newExchange(r *http.Request, route *port.Route, caller access.Caller, id string, body []byte) *exchange {
 	now := time.Now()
 	timeout, _ := a.protocol.Deadline(r.Header)
+	var expected relay.ResponseTime
+	a.do(func(time.Time) { expected = a.node.ResponseTimes().Of(route.Name) })
 	call := quarantine.Call{Method: r.Method, Host: r.Host, Target: target(r), Tenant: caller.Tenant, Body: body}
 	return &exchange{
-		agent: a, request: r, route: route, caller: caller, id: id, body: body, relay: relay.New(now, route, timeout),
+		agent: a, request: r, route: route, caller: caller, id: id, body: body, relay: relay.New(now, route, timeout, expected),
 		identity: quarantine.Request{Fingerprint: call.Fingerprint(), Route: route.Name, Tenant: caller.Tenant},
 		buffers:  a.newResponseBuffers(),
 		exclude:  map[string]bool{}, attempts: make(chan *attempt, max(route.MaxAttempts, 1)), started: a.clock.Now(),
@@ -96,7 +99,9 @@
 		if quarantined {
 			return
 		}
-		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude)
+		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), cluster.Attempt{
+			Exclude: x.exclude, Hedge: x.relay.Pending(),
+		})
 		x.recordChoice(now, chosen)
 		if chosen == nil && x.agent.node.AllEvacuated(x.route, x.caller.Tenant) {
 			x.relay.RecordEvacuated()
@@ -158,6 +163,9 @@
 			chosen.UpdateLoad(now, running, waiting)
 		}
 		x.recordAttempt(now, ended, now.Sub(startedAt), ctx.Err() != nil)
+		if ended.outcome == relay.Answered {
+			x.agent.node.ResponseTimes().Record(x.route.Name, now.Sub(startedAt))
+		}
 		x.reportToQuarantine(now, ended)
 		x.countRequest(now, startedAt, ended.outcome)
 	})
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -58,7 +58,7 @@
 func (x *exchange) launch(ctx context.Context, now time.Time) {
 	chosen := x.choose()
 	if chosen == nil {
-		x.relay.RecordNoEndpoint()
+		x.relay.RecordNoEndpoint(now)
 		return
 	}
 	x.relay.RecordLaunch(now)
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -82,7 +82,7 @@
 func (s *relayedStream) attempt(ctx context.Context, now time.Time) {
 	chosen := s.choose()
 	if chosen == nil {
-		s.relay.RecordNoEndpoint()
+		s.relay.RecordNoEndpoint(now)
 		return
 	}
 	s.relay.RecordLaunch(now)
--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -20,6 +20,7 @@
 	"github.com/doorstep/doorstep/internal/process/recordwatch"
 	"github.com/doorstep/doorstep/internal/process/settings"
 	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/request/relay"
 	"github.com/doorstep/doorstep/internal/version/batch"
 	"github.com/doorstep/doorstep/internal/version/configuration"
 	"github.com/doorstep/doorstep/internal/version/recordlease"
@@ -79,6 +80,8 @@
 	endpoints *endpoint.Registry
 	distances *distance.Estimator
 	jobs      *batch.Jobs
+	// responseTimes estimates the response times of the routes in force.
+	responseTimes *relay.ResponseTimes
 	// quarantine tracks requests that crash replicas.
 	quarantine *quarantine.Quarantine
 	cold       coldReplicas
@@ -118,7 +121,7 @@
 func New(now time.Time, options Options) *Node {
 	n := &Node{
 		options: options, queue: &task.Queue{}, endpoints: endpoint.NewRegistry(), startedAt: now, clock: storeClock{base: now},
-		distances: distance.New(options.Topology), replicaDemand: replicaDemand{perService: initialReplicas},
+		distances: distance.New(options.Topology), responseTimes: relay.NewResponseTimes(), replicaDemand: replicaDemand{perService: initialReplicas},
 		lapses: lapses{kept: map[string]bool{}}, unreadable: unreadableRecords{}, leases: map[string]*recordlease.Lease{},
 		random: rand.New(rand.NewPCG(options.Incarnation, uint64(len(options.Name)))),
 	}
@@ -128,7 +131,7 @@
 	n.cold = n.newColdReplicas()
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
-		Place: n.placeItem, PlaceScoring: n.placeScoring, FindEndpoint: n.endpoints.Find, Route: n.Route, StoreClock: n.clock.bounds,
+		Place: n.placeItem, PlaceScoring: n.placeScoring, ResponseTimes: n.responseTimes, FindEndpoint: n.endpoints.Find, Route: n.Route, StoreClock: n.clock.bounds,
 		StoreLatency: n.Latency, NodeCount: n.NodeCount, Fitness: n.fitness,
 		LengthHint: options.Decoder.LengthHint, MaxEvents: n.maxEvents, MaxTextEvents: n.maxTextEvents, ExpectedTokens: n.expectedTokens, ObservedUntil: n.sharedObservedUntil,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
@@ -164,6 +167,9 @@
 // Jobs returns the batch jobs.
 func (n *Node) Jobs() *batch.Jobs { return n.jobs }
 
+// ResponseTimes returns the estimated response times of the routes.
+func (n *Node) ResponseTimes() *relay.ResponseTimes { return n.responseTimes }
+
 // Quarantine returns the node's quarantine.
 func (n *Node) Quarantine() *quarantine.Quarantine { return n.quarantine }
 
@@ -263,6 +269,7 @@
 		return
 	}
 	n.routes = routes.New(table)
+	n.responseTimes.Retain(n.routes.HasRoute)
 	n.cold.limited = slices.ContainsFunc(table.Services, func(service port.Service) bool { return service.ColdStart != nil })
 	n.queue.Log(event.RoutesApplied, "version", table.Version, "routes", len(table.Routes), "services", len(table.Services),
 		"since_start_ms", now.Sub(n.startedAt).Milliseconds())
--- a/internal/process/cluster/evacuation_test.go
+++ b/internal/process/cluster/evacuation_test.go
@@ -96,7 +96,7 @@
 			}
 			var usable []string
 			exclude := map[string]bool{}
-			for one := n.Choose(start, &evacuationRoute, "", "", exclude); one != nil; one = n.Choose(start, &evacuationRoute, "", "", exclude) {
+			for one := n.Choose(start, &evacuationRoute, "", "", Attempt{Exclude: exclude}); one != nil; one = n.Choose(start, &evacuationRoute, "", "", Attempt{Exclude: exclude}) {
 				usable = append(usable, one.ID)
 				exclude[one.ID] = true
 			}
@@ -120,12 +120,12 @@
 	n.onReplicaHealth(start, false)
 	n.onDeployment(start, "replicas", records("replicas", "-a/1"), false)
 	n.onDeployment(start, "operator", records("operator", "a"), false)
-	if n.Choose(start, &evacuationRoute, "", "", nil) != nil {
+	if n.Choose(start, &evacuationRoute, "", "", Attempt{}) != nil {
 		t.Error("a kept replica of an evacuated zone gets a request")
 	}
 	lifted := start.Add(time.Second)
 	n.onDeployment(lifted, "operator", nil, true)
-	one := n.Choose(lifted, &evacuationRoute, "", "", nil)
+	one := n.Choose(lifted, &evacuationRoute, "", "", Attempt{})
 	if one == nil || !one.EvacuatedUntil.Equal(lifted) {
 		t.Errorf("replica after the evacuation: %+v", one)
 	}
@@ -191,7 +191,7 @@
 		t.Error("the node routes requests before reading the configuration table")
 	}
 	n.onDeployment(start, "operator", records("operator", "routes", "a"), true)
-	if n.Choose(start, &evacuationRoute, "", "", nil) != nil {
+	if n.Choose(start, &evacuationRoute, "", "", Attempt{}) != nil {
 		t.Error("a replica of an evacuated zone gets a request")
 	}
 }
--- a/internal/process/cluster/homes_test.go
+++ b/internal/process/cluster/homes_test.go
@@ -44,7 +44,7 @@
 	} {
 		n, route := homesNode(c.route...)
 		for path, choose := range map[string]func() *endpoint.Endpoint{
-			"request": func() *endpoint.Endpoint { return n.Choose(start, route, c.tenant, "m", nil) },
+			"request": func() *endpoint.Endpoint { return n.Choose(start, route, c.tenant, "m", Attempt{}) },
 			"item": func() *endpoint.Endpoint {
 				return n.placeItem(start, batch.Placement{Route: route, Tenant: c.tenant, Model: "m"})
 			},
--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -83,16 +83,37 @@
 	return best
 }
 
-// Choose chooses an endpoint for a caller's request, other than the excluded ones.
-func (n *Node) Choose(now time.Time, route *port.Route, tenant, model string, exclude map[string]bool) *endpoint.Endpoint {
+// Attempt describes an attempt of a caller's request.
+type Attempt struct {
+	// Exclude holds the IDs of the endpoints that must not be chosen.
+	Exclude map[string]bool
+	// Hedge is set while another attempt is in progress. The endpoint then needs a free slot, so that the copy
+	// does not delay other callers' requests.
+	Hedge bool
+}
+
+// Choose chooses an endpoint for an attempt of a caller's request.
+func (n *Node) Choose(now time.Time, route *port.Route, tenant, model string, attempt Attempt) *endpoint.Endpoint {
 	query := n.query(now, route, tenant)
-	query.Exclude = exclude
+	query.Exclude = attempt.Exclude
 	query.Model = model
+	if attempt.Hedge {
+		return n.chooseForHedge(query, route)
+	}
 	chosen := n.chooseAndRecord(&endpoint.Requests, query, route)
 	n.requestMoreReplicas(now, route, chosen)
 	return chosen
 }
 
+// chooseForHedge chooses an endpoint for a hedged attempt. It has no last resort, as another attempt is in progress.
+func (n *Node) chooseForHedge(query *endpoint.Query, route *port.Route) *endpoint.Endpoint {
+	chosen := n.chooseInOrder(&endpoint.HedgedRequests, query, n.splitter.Order(route))
+	if chosen != nil {
+		n.recordSend(query.Now, chosen, false)
+	}
+	return chosen
+}
+
 // placeScoring chooses an endpoint for an item's scoring call, other than the excluded ones.
 func (n *Node) placeScoring(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint {
 	if !n.knowsAllReplicas() {
--- a/internal/process/cluster/replicalist_test.go
+++ b/internal/process/cluster/replicalist_test.go
@@ -149,7 +149,7 @@
 	if d.node.LoadingReplicas() {
 		d.t.Fatal("replicas are still awaited")
 	}
-	chosen := d.node.Choose(d.now, callersRoute, "", "", nil)
+	chosen := d.node.Choose(d.now, callersRoute, "", "", Attempt{})
 	if chosen == nil {
 		return ""
 	}
@@ -242,7 +242,7 @@
 	if d.node.BeginRequest(d.now, callersRoute) {
 		t.Error("request waits although the store is known to be down")
 	}
-	if d.node.Choose(d.now, callersRoute, "", "", nil) == nil {
+	if d.node.Choose(d.now, callersRoute, "", "", Attempt{}) == nil {
 		t.Error("no replica while the store is down")
 	}
 	d.node.EndRequest(d.now)
@@ -295,20 +295,20 @@
 	d.node.BeginRequest(d.now, rare)
 	failed := map[string]bool{}
 	for range 5 {
-		chosen := d.node.Choose(d.now, rare, "", "", failed)
+		chosen := d.node.Choose(d.now, rare, "", "", Attempt{Exclude: failed})
 		for range 8 {
 			if chosen != nil || !d.node.LoadingMoreReplicas() {
 				break
 			}
 			d.settle()
-			chosen = d.node.Choose(d.now, rare, "", "", failed)
+			chosen = d.node.Choose(d.now, rare, "", "", Attempt{Exclude: failed})
 		}
 		if chosen == nil {
 			t.Fatalf("no replica once %d failed", len(failed))
 		}
 		failed[chosen.ID] = true
 	}
-	if d.node.Choose(d.now, rare, "", "", failed) != nil {
+	if d.node.Choose(d.now, rare, "", "", Attempt{Exclude: failed}) != nil {
 		t.Error("a sixth replica was chosen out of five")
 	}
 }
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -69,7 +69,7 @@
 	lowestDelay bool
 }
 
-// Requests is the profile for callers' requests and Rollouts the one for items of batch jobs, which
+// Requests is the profile for callers' requests, HedgedRequests for further attempts beside one in progress, and Rollouts the one for items of batch jobs, which
 // prefer the endpoint that has their prompt cached. LongRollouts is for items with long texts: they
 // determine when a job completes, so they prefer the fastest endpoints. ScoringCalls is for scoring
 // calls, which leave capacity for callers' requests.
@@ -79,6 +79,11 @@
 		scorers:     []weightedScorer{{LeastLoad, 4}, {LowLatency, 2}, {Near, 1}},
 		lowestDelay: true,
 	}
+	HedgedRequests = Profile{
+		filters:     append(slices.Clone(Requests.filters), HasSlot),
+		scorers:     Requests.scorers,
+		lowestDelay: true,
+	}
 	Rollouts = Profile{
 		filters: []Filter{IsSchedulable, InHomes, NotExcluded, NotEjected, VersionReached, NotLoading, BelowMaxLoad},
 		scorers: []weightedScorer{{LeastLoad, 4}, {SlowPace, 4}, {Preferred, 3}, {FreeSlot, 3}, {FreeMemory, 4}, {Near, 0.5}},
@@ -131,7 +136,7 @@
 }
 
 // HasSlot drops endpoints that have no free slot.
-func HasSlot(q *Query, e *Endpoint) bool { return e.Load(q.Now) < e.Slots }
+func HasSlot(q *Query, e *Endpoint) bool { return e.Load(q.Now) < max(e.Slots, 1) }
 
 // HasMemory drops endpoints that would run out of memory with the request.
 func HasMemory(q *Query, e *Endpoint) bool {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -12,9 +12,6 @@
 const (
 	// minAttemptTime is the minimum remaining time for starting an attempt.
 	minAttemptTime = 15 * time.Millisecond
-	// hedgeDivisor divides the latency objective to get the delay after which a repeatable request is
-	// hedged.
-	hedgeDivisor = 2
 	// retryAfter is the Retry-After of a refusal.
 	retryAfter = 200 * time.Millisecond
 	// evacuatedRetryAfter is the Retry-After if all replicas are in evacuated zones. Evacuations last
@@ -80,8 +77,10 @@
 	repeatable  bool
 	maxAttempts int
 	deadline    time.Time
-	hedgeAfter  time.Duration
-	launchedAt  time.Time
+	// hedgeDelay is how long a repeatable request waits for an attempt before another one is started, hedgeAt
+	// when it next does. hedgeTime is the time left that makes a second attempt worthwhile.
+	hedgeDelay, hedgeTime time.Duration
+	hedgeAt               time.Time
 	// launched counts the attempts that were or may still be sent, open those in progress.
 	launched int
 	open     int
@@ -97,8 +96,9 @@
 	streaming bool
 }
 
-// New returns the state of a request that arrives now. wait is the caller's timeout, 0 if it has none.
-func New(now time.Time, route *port.Route, wait time.Duration) *Relay {
+// New returns the state of a request that arrives now. wait is the caller's timeout, 0 if it has none; expected is
+// how long the route's requests currently take.
+func New(now time.Time, route *port.Route, wait time.Duration, expected ResponseTime) *Relay {
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
@@ -109,10 +109,20 @@
 		repeatable:  route.Kind == port.RouteIdempotent || route.Kind == port.RouteStreaming && route.Resumable,
 		maxAttempts: max(route.MaxAttempts, 1),
 		deadline:    now.Add(wait),
-		hedgeAfter:  route.Objective / hedgeDivisor,
+		hedgeDelay:  hedgeDelay(wait, expected),
+		hedgeTime:   max(expected.Mean, minAttemptTime),
 	}
 }
 
+// hedgeDelay returns how long to wait for an attempt before it counts as stuck. As long as the response time is
+// unknown, a second attempt gets as much time as the first.
+func hedgeDelay(wait time.Duration, expected ResponseTime) time.Duration {
+	if expected.Longest == 0 {
+		return wait / 2
+	}
+	return expected.Longest
+}
+
 // Deadline returns when the request must be answered.
 func (r *Relay) Deadline() time.Time { return r.deadline }
 
@@ -129,11 +139,18 @@
 func (r *Relay) RecordLaunch(now time.Time) {
 	r.launched++
 	r.open++
-	r.launchedAt = now
+	r.hedgeAt = now.Add(r.hedgeDelay)
 }
 
-// RecordNoEndpoint records that there is no other replica to try.
-func (r *Relay) RecordNoEndpoint() { r.exhausted = true }
+// RecordNoEndpoint records that there is no other replica to try. While an attempt is in progress, the request may
+// try again later: replicas without room for a hedged attempt may get some.
+func (r *Relay) RecordNoEndpoint(now time.Time) {
+	if r.open > 0 {
+		r.hedgeAt = now.Add(r.hedgeDelay)
+		return
+	}
+	r.exhausted = true
+}
 
 // RecordEvacuated records that all remaining replicas are in evacuated zones.
 func (r *Relay) RecordEvacuated() {
@@ -203,15 +220,18 @@
 	case r.open == 0:
 		return true
 	}
-	return r.repeatable && r.hedgeAfter > 0 && now.Sub(r.launchedAt) >= r.hedgeAfter
+	return r.mayHedge(now) && !now.Before(r.hedgeAt)
+}
+
+// mayHedge reports whether an attempt that starts at the given time, beside the one in progress, could still be
+// answered before the deadline.
+func (r *Relay) mayHedge(at time.Time) bool {
+	return r.repeatable && !r.exhausted && r.launched < r.maxAttempts && r.Remaining(at) >= r.hedgeTime
 }
 
 func (r *Relay) nextCheck(now time.Time) time.Time {
-	if r.repeatable && !r.exhausted && r.launched < r.maxAttempts && r.hedgeAfter > 0 {
-		hedgeAt := r.launchedAt.Add(r.hedgeAfter)
-		if hedgeAt.After(now) && hedgeAt.Before(r.deadline) {
-			return hedgeAt
-		}
+	if r.hedgeAt.After(now) && r.mayHedge(r.hedgeAt) {
+		return r.hedgeAt
 	}
 	return r.deadline
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -28,8 +28,8 @@
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func TestRelay(t *testing.T) {
-	idempotent := port.Route{Kind: port.RouteIdempotent, MaxAttempts: 2, Timeout: ms(1000), Objective: ms(100)}
-	once := port.Route{Kind: port.RouteNonIdempotent, MaxAttempts: 3, Timeout: ms(1000), Objective: ms(100)}
+	idempotent := port.Route{Kind: port.RouteIdempotent, MaxAttempts: 2, Timeout: ms(1000)}
+	once := port.Route{Kind: port.RouteNonIdempotent, MaxAttempts: 3, Timeout: ms(1000)}
 	stream := port.Route{Kind: port.RouteStreaming, Resumable: true, MaxAttempts: 3, Timeout: ms(1000)}
 	cases := []struct {
 		name  string
@@ -99,7 +99,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			r := New(start, &c.route, 0)
+			r := New(start, &c.route, 0, ResponseTime{Mean: ms(25), Longest: ms(50)})
 			for i, s := range c.steps {
 				now := start.Add(s.at)
 				if s.launch {
@@ -112,7 +112,7 @@
 					r.RecordOutcome(*s.ended)
 				}
 				if s.noEndpoint {
-					r.RecordNoEndpoint()
+					r.RecordNoEndpoint(now)
 				}
 				got := r.Next(now)
 				if got.Action != s.want || got.Status != s.status || (got.RetryAfter > 0) != s.retryAfter {
@@ -128,10 +128,10 @@
 
 func TestShorterDeadlineApplies(t *testing.T) {
 	route := port.Route{Timeout: ms(1000)}
-	if got := New(start, &route, ms(300)).Remaining(start); got != ms(300) {
+	if got := New(start, &route, ms(300), ResponseTime{}).Remaining(start); got != ms(300) {
 		t.Errorf("%s left, want the shorter timeout", got)
 	}
-	if got := New(start, &route, ms(3000)).Remaining(start); got != ms(1000) {
+	if got := New(start, &route, ms(3000), ResponseTime{}).Remaining(start); got != ms(1000) {
 		t.Errorf("%s left, want the shorter timeout", got)
 	}
 }
@@ -150,7 +150,7 @@
 		{"after a refusal for load", []Outcome{NotRun}, http.StatusServiceUnavailable, evacuatedRetryAfter},
 		{"after a lost answer", []Outcome{NotRun, Broken}, http.StatusBadGateway, 0},
 	} {
-		r := New(start, &route, 0)
+		r := New(start, &route, 0, ResponseTime{})
 		for _, outcome := range c.before {
 			r.RecordLaunch(start)
 			r.RecordOutcome(outcome)
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -21,6 +21,7 @@
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
 const (
@@ -88,6 +89,8 @@
 	// PlaceScoring chooses an endpoint outside exclude for a tenant's scoring call, or returns
 	// nil if none has capacity.
 	PlaceScoring func(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint
+	// ResponseTimes estimates how long scoring calls take.
+	ResponseTimes *relay.ResponseTimes
 	// LengthHint returns the expected number of tokens given in a request header, or 0.
 	LengthHint func(header http.Header) int
 	// MaxEvents returns the maximum number of events of a request's text, or 0 if unknown.
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -79,7 +79,7 @@
 			}
 			chosen := o.jobs.options.PlaceScoring(now, route, o.job.Tenant, it.scoringRound.exclude)
 			if chosen == nil {
-				it.scoringRound.relay.RecordNoEndpoint()
+				it.scoringRound.relay.RecordNoEndpoint(now)
 				continue
 			}
 			o.sendScoring(now, index, chosen)
@@ -118,7 +118,7 @@
 	}
 	it := &o.items[index]
 	it.scoringRound = &scoringRound{
-		relay: relay.New(now, route, o.scoringTimeout(now)), exclude: map[string]bool{}, open: map[uint64]bool{},
+		relay: relay.New(now, route, o.scoringTimeout(now), o.jobs.options.ResponseTimes.Of(route.Name)), exclude: map[string]bool{}, open: map[uint64]bool{},
 	}
 	if it.scoringCrashes.limited() {
 		it.scoringRound.relay.LimitAttempts(1)
@@ -193,6 +193,9 @@
 	if result.Crashed {
 		o.recordCrash(now, index, &it.scoringCrashes, it.scoringRequest, chosen)
 	}
+	if route := o.jobs.options.Route(o.job.Items[index].Scoring.Host, o.job.Items[index].Scoring.Path); route != nil && result.Outcome == relay.Answered {
+		o.jobs.options.ResponseTimes.Record(route.Name, took)
+	}
 	if chosen.RecordAttempt(now, result.Outcome, took) {
 		o.jobs.options.Queue.Log(event.ReplicaEjected, "replica", chosen.ID, "after_ms", took.Milliseconds())
 	}
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -12,6 +12,7 @@
 	"github.com/doorstep/doorstep/internal/process/endpoint"
 	"github.com/doorstep/doorstep/internal/process/quarantine"
 	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/request/relay"
 	"github.com/doorstep/doorstep/internal/standin/model"
 )
 
@@ -68,7 +69,8 @@
 			}
 			return n.scorer
 		},
-		FindEndpoint: func(string) *endpoint.Endpoint { return n.replica },
+		ResponseTimes: relay.NewResponseTimes(),
+		FindEndpoint:  func(string) *endpoint.Endpoint { return n.replica },
 		Route: func(_, path string) *port.Route {
 			if path == scoringPath {
 				return n.scoringRoute
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -95,6 +95,9 @@
 	return found
 }
 
+// HasRoute reports whether there is a route with the given name.
+func (t *Table) HasRoute(name string) bool { return t.byName[name] != nil }
+
 // Services returns all services, sorted by name.
 func (t *Table) Services() []port.Service {
 	var list []port.Service
