Admit requests at replicas by the priority of their route

Callers saw: items with long texts were admitted at their replica ahead of everything else there, callers' requests of any route included, and the priority that operators give a route had no effect. A caller could also set the rank of its own request.

Cause: task.Run.Urgent set a fixed rank for items that were expected to be long; the routes' priority was not decoded, and a client's header was passed on.

Items of a job are still started longest first, which is the job's own matter.

--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -49,6 +49,9 @@
 	MaxQueue time.Duration
 	// ResultDeadline is the age at which a batch job's results are due.
 	ResultDeadline time.Duration
+	// Priority is the rank of the route's requests at a replica, from 0 (first) to MaxPriority. Requests of a
+	// lower rank are admitted before those of a higher one.
+	Priority int
 	// AllowAnonymous admits callers without a key even if there are tenants.
 	AllowAnonymous bool
 	// AllowedRegions are the regions in which requests may be served and stored; empty
@@ -56,6 +59,12 @@
 	AllowedRegions []string
 }
 
+const (
+	// DefaultPriority is the rank of requests without one, MaxPriority the last rank.
+	DefaultPriority = 5
+	MaxPriority     = 9
+)
+
 // Service is a set of interchangeable replicas.
 type Service struct {
 	Name string
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -53,7 +53,7 @@
 	SetReplicaAndDeadline(header http.Header, replica string, left time.Duration)
 	SetLastEvent(header http.Header, lastEvent string)
 	LastEvent(header http.Header) string
-	SetUrgent(header http.Header)
+	SetPriority(header http.Header, rank int)
 	APIKey(header http.Header) (port.KeyDigest, bool)
 	SetTenant(header http.Header, tenant string)
 	Signature(header http.Header) string
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -225,6 +225,7 @@
 	dropConnectionHeaders(header)
 	x.agent.setTenantHeader(header, x.caller)
 	x.agent.protocol.SetReplicaAndDeadline(header, chosen.ID, left)
+	x.agent.protocol.SetPriority(header, x.route.Priority)
 	return &upstream.Call{
 		Address: chosen.Address, Method: x.request.Method, Target: target(x.request), Host: x.request.Host,
 		Header: header, Body: x.body, ID: x.id, IDOf: x.agent.protocol.RequestID, DeadlinePassed: x.agent.pastDeadline(x.sendBy),
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -42,9 +42,7 @@
 	a.protocol.SetRequestID(header, t.Item)
 	a.protocol.SetReplicaAndDeadline(header, t.Replica, t.Limit)
 	a.setTenantHeader(header, a.jobCaller(t.Tenant))
-	if t.Urgent {
-		a.protocol.SetUrgent(header)
-	}
+	a.protocol.SetPriority(header, t.Priority)
 	if t.After > 0 {
 		a.protocol.SetLastEvent(header, strconv.FormatInt(t.After, 10))
 	}
--- a/internal/process/agent/scoring.go
+++ b/internal/process/agent/scoring.go
@@ -16,6 +16,7 @@
 	a.protocol.SetRequestID(header, t.Request)
 	a.protocol.SetReplicaAndDeadline(header, t.Replica, t.Limit)
 	a.setTenantHeader(header, a.jobCaller(t.Tenant))
+	a.protocol.SetPriority(header, t.Priority)
 	startedAt := time.Now()
 	buffers := a.newResponseBuffers()
 	defer buffers.end()
--- a/internal/process/task/task.go
+++ b/internal/process/task/task.go
@@ -45,8 +45,8 @@
 	SendBy time.Time
 	// Waited is how long the item has waited for a replica.
 	Waited time.Duration
-	// Urgent asks the replica to admit the run before others.
-	Urgent bool
+	// Priority is the rank of the job's route.
+	Priority int
 	// After is the ID of the event after which to continue, 0 to start from the beginning.
 	After int64
 	// FirstEventTimeout is the timeout for the first event and NextEventTimeout the timeout between two
@@ -116,6 +116,8 @@
 	Body         []byte
 	// Tenant is the job's tenant, empty without tenants.
 	Tenant string
+	// Priority is the rank of the call's route.
+	Priority int
 	// Limit is the time granted to the attempt.
 	Limit time.Duration
 	// SendBy is the deadline for sending the call, as for a Run.
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -123,7 +123,7 @@
 	it.reservation = reservation
 	o.jobs.options.Queue.Add(task.Run{
 		ID: run, Item: content.Id, Replica: chosen.ID, Address: chosen.Address, Target: content.Path, Host: o.job.Host,
-		Header: it.header.Clone(), Body: content.Body, Tenant: o.job.Tenant, Limit: runTimeout, Waited: now.Sub(it.waitingSince), After: it.resumeAfter(), Urgent: it.long,
+		Header: it.header.Clone(), Body: content.Body, Tenant: o.job.Tenant, Limit: runTimeout, Waited: now.Sub(it.waitingSince), After: it.resumeAfter(), Priority: route.Priority,
 		FirstEventTimeout: firstEventLimit(now, chosen, it.interruptions), NextEventTimeout: o.nextEventLimit(it, route),
 		Progress: func(now time.Time, events []port.ReplicaEvent, pace time.Duration) bool {
 			if checkingEnd {
--- a/internal/version/batch/scoring.go
+++ b/internal/version/batch/scoring.go
@@ -82,7 +82,7 @@
 				it.scoringRound.relay.RecordNoEndpoint(now)
 				continue
 			}
-			o.sendScoring(now, index, chosen)
+			o.sendScoring(now, index, route, chosen)
 		case relay.Wait:
 			return
 		case relay.Fail, relay.Deliver:
@@ -123,7 +123,7 @@
 	if it.scoringCrashes.limited() {
 		it.scoringRound.relay.LimitAttempts(1)
 	}
-	o.sendScoring(now, index, chosen)
+	o.sendScoring(now, index, route, chosen)
 }
 
 // scoringTimeout returns the time limit of a round, which ends when the item expires.
@@ -137,7 +137,7 @@
 }
 
 // sendScoring sends an attempt of the current round to an endpoint.
-func (o *ownedJob) sendScoring(now time.Time, index int, chosen *endpoint.Endpoint) {
+func (o *ownedJob) sendScoring(now time.Time, index int, route *port.Route, chosen *endpoint.Endpoint) {
 	it, call := &o.items[index], o.job.Items[index].Scoring
 	round := it.scoringRound
 	round.exclude[chosen.ID] = true
@@ -151,7 +151,7 @@
 	o.openRuns++
 	o.jobs.options.Queue.Add(task.ScoringCall{
 		ID: id, Request: call.Id, Replica: chosen.ID, Address: chosen.Address, Target: call.Path, Host: call.Host, Body: o.scoringBody(index),
-		Tenant: o.job.Tenant, Limit: round.relay.Remaining(now), SendBy: chosen.SendBy,
+		Tenant: o.job.Tenant, Priority: route.Priority, Limit: round.relay.Remaining(now), SendBy: chosen.SendBy,
 		Done: func(later time.Time, result task.ScoringResult) {
 			chosen.InFlight--
 			o.openRuns--
