Mark long items by their hints, not by their number

Callers saw: while the text lengths of a model were unknown, a fifth of a job's items counted as long. In a job with one long text, short ones took places at the fastest replicas; in a job of mostly long texts, most long ones did not get any.

Cause: markLong went by the rank of the hints and a fixed fraction of the items.

Change: an item is long if its hint is among the longest of the job (the fraction of the longest that is used with known lengths, too) and above the job's average.

--- a/internal/version/batch/item.go
+++ b/internal/version/batch/item.go
@@ -16,9 +16,6 @@
 const (
 	// queueMargin is added to the route's queue limit before an item expires.
 	queueMargin = time.Second
-	// longItemDivisor is the inverse of the fraction of a job's items that count as long while
-	// too few text lengths are known.
-	longItemDivisor = 5
 	// refusedBackoff is the delay after a replica refused an item, failureBackoff after a run
 	// failed.
 	refusedBackoff = 60 * time.Millisecond
@@ -115,7 +112,7 @@
 		order[i] = i
 	}
 	sortByLength(order, func(index int) int { return hints[index] })
-	o.markLong(order, hints)
+	o.markLong(hints)
 	o.startOrder = order
 }
 
--- a/internal/version/batch/length.go
+++ b/internal/version/batch/length.go
@@ -14,7 +14,7 @@
 	// the number of those that must exceed a text's current length.
 	minLengthSamples     = 48
 	minComparableSamples = 6
-	// longTextFraction is the fraction of the longest text from which a text counts as long.
+	// longTextFraction is the fraction of the longest text, or of the longest hint, from which a text counts as long.
 	longTextFraction = 0.9
 	// maxLengthHistories limits the number of models with a history, which takes some 6 KB each.
 	maxLengthHistories = 64
@@ -148,13 +148,18 @@
 	return history
 }
 
-// markLong marks the items whose texts may be among the longest, based on the model's length
-// history, or without enough samples on the rank of their hints. The order is by descending
-// hint.
-func (o *ownedJob) markLong(order, hints []int) {
+// markLong marks the items whose texts may be among the longest, which determine when the job completes. It goes
+// by the model's length history, or without enough samples by the hints alone: a text then needs one of the longest hints
+// and one above the job's average, as there is none to single out if all are alike.
+func (o *ownedJob) markLong(hints []int) {
 	history := o.jobs.lengthHistoryOf(o.job.Model)
 	target := int(longTextFraction * float64(history.longest()))
-	for rank, index := range order {
+	longestHint, sum := 0, 0.0
+	for _, hint := range hints {
+		longestHint = max(longestHint, hint)
+		sum += float64(hint)
+	}
+	for index := range o.items {
 		it := &o.items[index]
 		estimate := history.estimate(hints[index], 0, target)
 		switch {
@@ -162,7 +167,8 @@
 		case estimate.known:
 			it.long = estimate.probability >= minDelayProbability
 		default:
-			it.long = rank < len(order)/longItemDivisor
+			hint := float64(hints[index])
+			it.long = hint >= longTextFraction*float64(longestHint) && hint > sum/float64(len(hints))
 		}
 	}
 }
