Count callers' deadlines from the arrival of their requests

Callers saw: a request whose body came slowly got no answer before its deadline, as the node waited for up to 30 s for the rest, whatever the deadline was. If the body was complete in time, the replica was given the whole deadline again and worked longer than the caller waited.

Cause: readBody had a fixed limit, and newExchange started the deadline after the body had been read.

Change: the deadline (the caller's timeout, at most the route's) counts from the arrival of the head. It limits the reading of the body, whose refusal (408) is true as nothing has run, and what replicas are given is what is left.

The pause of 30 s is gone with its constant: a caller without a deadline has the default of 30 s, as before.

--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -10,14 +10,11 @@
 
 	"github.com/doorstep/doorstep/internal/port"
 	"github.com/doorstep/doorstep/internal/process/event"
+	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
-const (
-	// defaultRetryAfter is the Retry-After value for temporary failures.
-	defaultRetryAfter = 300 * time.Millisecond
-	// bodyReadTimeout bounds the reading of a request body.
-	bodyReadTimeout = 30 * time.Second
-)
+// defaultRetryAfter is the Retry-After value for temporary failures.
+const defaultRetryAfter = 300 * time.Millisecond
 
 // Reasons for refusals, which are returned to clients and used as metric labels.
 const (
@@ -36,6 +33,7 @@
 
 // serve handles all client calls.
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	arrivedAt := time.Now()
 	id := a.protocol.RequestID(r.Header)
 	a.mu.Lock()
 	table := a.node.Routes()
@@ -74,7 +72,9 @@
 		a.refuse(w, id, http.StatusBadRequest, 0, reasonNoID)
 		return
 	}
-	body, ok := a.readBody(w, r, id, limits.BodyBytes)
+	timeout, _ := a.protocol.Deadline(r.Header)
+	deadline := arrivedAt.Add(relay.TimeAllowed(route, timeout))
+	body, ok := a.readBody(w, r, id, limits.BodyBytes, deadline)
 	if !ok {
 		return
 	}
@@ -82,9 +82,9 @@
 	case port.RouteBatch:
 		a.acceptJob(w, r, route, caller, id, body)
 	case port.RouteStreaming:
-		a.forwardStream(w, a.newExchange(r, route, caller, id, body))
+		a.forwardStream(w, a.newExchange(r, arrivedAt, route, caller, id, body))
 	case port.RouteIdempotent, port.RouteNonIdempotent:
-		a.forward(w, a.newExchange(r, route, caller, id, body))
+		a.forward(w, a.newExchange(r, arrivedAt, route, caller, id, body))
 	}
 }
 
@@ -100,8 +100,8 @@
 }
 
 // readBody reads the full body before anything is forwarded, so that a truncated request is
-// never run.
-func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, id string, limit int64) ([]byte, bool) {
+// never run. A body that is incomplete at the request's deadline is of no use to the caller any more.
+func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, id string, limit int64, deadline time.Time) ([]byte, bool) {
 	if limit > 0 {
 		if r.ContentLength > limit {
 			w.Header().Set("Connection", "close")
@@ -111,7 +111,7 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_ = control.SetReadDeadline(deadline)
 	body, err := io.ReadAll(r.Body)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -96,19 +96,26 @@
 	streaming bool
 }
 
-// New returns the state of a request that arrives now. wait is the caller's timeout, 0 if it has none; expected is
-// how long the route's requests currently take.
-func New(now time.Time, route *port.Route, wait time.Duration, expected ResponseTime) *Relay {
+// TimeAllowed returns how long a request may take from its arrival: the caller's timeout, 0 if it has none, but at most
+// that of the route.
+func TimeAllowed(route *port.Route, wait time.Duration) time.Duration {
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
 	if route.Timeout > 0 {
 		wait = min(wait, route.Timeout)
 	}
+	return wait
+}
+
+// New returns the state of a request. wait is the caller's timeout, 0 if it has none; expected is how long the route's
+// requests currently take.
+func New(arrivedAt time.Time, route *port.Route, wait time.Duration, expected ResponseTime) *Relay {
+	wait = TimeAllowed(route, wait)
 	return &Relay{
 		repeatable:  route.Kind == port.RouteIdempotent || route.Kind == port.RouteStreaming && route.Resumable,
 		maxAttempts: max(route.MaxAttempts, 1),
-		deadline:    now.Add(wait),
+		deadline:    arrivedAt.Add(wait),
 		hedgeDelay:  hedgeDelay(wait, expected),
 		hedgeTime:   max(expected.Mean, minAttemptTime),
 	}
