Leave callers time for the retry that Retry-After asks for

Callers saw: a refusal asked a caller with 0.2 s left to come back after 0.2 or 0.3 s, and one whose time was over as well.

Cause: the value was the same for all callers.

Change: Retry-After of a temporary failure is at most half of the caller's remaining time, and absent if none remains. Values that are tied to an event (the trial of a quarantined request, an evacuation, the next window of a cold replica) stay as they are: an earlier retry would be refused again.

Evidence: with the fixed value three of four rows of TestRetryAfterLeavesTimeForTheRetry fail (200 ms instead of 150, 50 and none).

--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -43,7 +43,7 @@
 	job.Route, job.Host, job.Path, job.Tenant = route.Name, r.Host, r.URL.Path, caller.Tenant
 	outcome := awaitOutcome(r.Context(), func(done chan<- batch.Outcome) {
 		a.do(func(now time.Time) {
-			a.node.Jobs().Accept(now, job, now.Add(time.Until(deadline)), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
+			a.node.Jobs().Accept(now, job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 		})
 	})
 	a.metrics.accepted(outcome)
@@ -52,7 +52,7 @@
 		w.WriteHeader(http.StatusAccepted)
 		return
 	}
-	a.refuseOutcome(w, id, outcome)
+	a.refuseOutcome(w, id, outcome, deadline)
 }
 
 var (
@@ -78,8 +78,9 @@
 	}
 }
 
-// refuseOutcome responds to a job call that failed or whose outcome is unknown.
-func (a *Agent) refuseOutcome(w http.ResponseWriter, id string, outcome batch.Outcome) {
+// refuseOutcome responds to a job call that failed or whose outcome is unknown. The caller's deadline is zero if
+// unknown.
+func (a *Agent) refuseOutcome(w http.ResponseWriter, id string, outcome batch.Outcome, deadline time.Time) {
 	switch outcome {
 	case batch.NotFound:
 		a.refuse(w, id, http.StatusNotFound, 0, reasonNoJob)
@@ -92,33 +93,37 @@
 	case batch.Invalid:
 		a.refuse(w, id, http.StatusBadRequest, 0, reasonInvalidJob)
 	case batch.NotApplied, batch.Applied:
-		a.refuse(w, id, http.StatusServiceUnavailable, defaultRetryAfter, reasonStoreUnavailable)
+		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(deadline), reasonStoreUnavailable)
 	}
 }
 
+// nodeDeadline converts a deadline to the node's clock, which goes on while the machine is suspended.
+func nodeDeadline(now, deadline time.Time) time.Time {
+	if deadline.IsZero() {
+		return deadline
+	}
+	return now.Add(time.Until(deadline))
+}
+
 // serveJobCall handles calls about existing jobs.
 func (a *Agent) serveJobCall(w http.ResponseWriter, r *http.Request, table *routes.Table, call port.JobCall) {
-	if !a.authorizeJobCall(w, r, table, call) {
+	deadline := a.callerDeadline(time.Now(), r.Header)
+	if !a.authorizeJobCall(w, r, table, call, deadline) {
 		return
 	}
 	switch call.Kind {
 	case port.ReadJob:
-		a.readJob(w, r, call)
+		a.readJob(w, r, call, deadline)
 	case port.ReadItem:
-		a.readItem(w, r, call)
+		a.readItem(w, r, call, deadline)
 	case port.EndJob:
-		timeout, _ := a.protocol.Deadline(r.Header)
 		outcome := awaitOutcome(r.Context(), func(done chan<- batch.Outcome) {
 			a.do(func(now time.Time) {
-				var deadline time.Time
-				if timeout > 0 {
-					deadline = now.Add(timeout)
-				}
-				a.node.Jobs().End(now, call.Job, deadline, func(_ time.Time, outcome batch.Outcome) { done <- outcome })
+				a.node.Jobs().End(now, call.Job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 			})
 		})
 		if outcome != batch.Applied {
-			a.refuseOutcome(w, call.Job, outcome)
+			a.refuseOutcome(w, call.Job, outcome, deadline)
 		}
 	case port.NoJobCall:
 	}
@@ -126,7 +131,7 @@
 
 // authorizeJobCall reports whether the caller may access a job, and responds if not. Another tenant's
 // job is reported as not found. A job without a tenant is accessible to all.
-func (a *Agent) authorizeJobCall(w http.ResponseWriter, r *http.Request, table *routes.Table, call port.JobCall) bool {
+func (a *Agent) authorizeJobCall(w http.ResponseWriter, r *http.Request, table *routes.Table, call port.JobCall, deadline time.Time) bool {
 	if !table.HasTenants() {
 		return true
 	}
@@ -135,7 +140,7 @@
 		if state, known := a.knownJob(call.Job); known && state.Tenant == "" {
 			return true
 		}
-		a.refuseKey(w, call.Job, verdict)
+		a.refuseKey(w, call.Job, verdict, deadline)
 		return false
 	}
 	read := awaitOutcome(r.Context(), func(done chan<- jobSnapshot) {
@@ -148,7 +153,7 @@
 		read.outcome = batch.NotFound
 	}
 	if read.outcome != batch.Applied {
-		a.refuseOutcome(w, call.Job, read.outcome)
+		a.refuseOutcome(w, call.Job, read.outcome, deadline)
 		return false
 	}
 	return true
@@ -168,14 +173,14 @@
 }
 
 // readJob responds with the results from a position on, waiting until there is at least one.
-func (a *Agent) readJob(w http.ResponseWriter, r *http.Request, call port.JobCall) {
+func (a *Agent) readJob(w http.ResponseWriter, r *http.Request, call port.JobCall, deadline time.Time) {
 	startedAt := time.Now()
 	until := startedAt.Add(min(a.protocol.MaxWait(r.Header), maxResultWait))
 	for {
 		changed := a.watchJob(call.Job)
 		read := a.readResults(r.Context(), call)
 		if read.outcome != batch.Applied {
-			a.refuseOutcome(w, call.Job, read.outcome)
+			a.refuseOutcome(w, call.Job, read.outcome, deadline)
 			return
 		}
 		if len(read.results) > 0 || call.From >= read.state.Total || !a.waitForChange(r.Context(), changed, until) {
@@ -265,7 +270,7 @@
 }
 
 // readItem responds with an item's body.
-func (a *Agent) readItem(w http.ResponseWriter, r *http.Request, call port.JobCall) {
+func (a *Agent) readItem(w http.ResponseWriter, r *http.Request, call port.JobCall, deadline time.Time) {
 	read := awaitOutcome(r.Context(), func(done chan<- itemContent) {
 		a.do(func(now time.Time) {
 			found := func(state batch.State) {
@@ -281,7 +286,7 @@
 		})
 	})
 	if read.outcome != batch.Applied {
-		a.refuseOutcome(w, call.Job, read.outcome)
+		a.refuseOutcome(w, call.Job, read.outcome, deadline)
 		return
 	}
 	_, _ = w.Write(read.body)
--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -34,7 +34,7 @@
 	case quarantine.OnTrial:
 		// Don't use up a trial that no replica could serve.
 		if x.allEvacuated() || !x.claimTrial() {
-			x.refuseQuarantined(w, defaultRetryAfter)
+			x.refuseQuarantined(w, retryAfterBy(x.relay.Deadline()))
 			return false
 		}
 		x.onTrial = true
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -13,9 +13,26 @@
 	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
-// defaultRetryAfter is the Retry-After value for temporary failures.
+// defaultRetryAfter is the Retry-After value for temporary failures, if the caller has enough time left.
 const defaultRetryAfter = 300 * time.Millisecond
 
+// retryAfterBy returns the Retry-After value for a temporary failure, given the caller's deadline; zero if unknown.
+func retryAfterBy(deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return defaultRetryAfter
+	}
+	return relay.LimitRetryAfter(defaultRetryAfter, time.Until(deadline))
+}
+
+// callerDeadline returns when a caller stops waiting, zero if unknown.
+func (a *Agent) callerDeadline(arrivedAt time.Time, header http.Header) time.Time {
+	timeout, _ := a.protocol.Deadline(header)
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return arrivedAt.Add(timeout)
+}
+
 // Reasons for refusals, which are returned to clients and used as metric labels.
 const (
 	reasonNoConfiguration  = "no configuration yet"
@@ -43,7 +60,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if table == nil {
-		a.refuse(w, id, http.StatusServiceUnavailable, defaultRetryAfter, reasonNoConfiguration)
+		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(a.callerDeadline(arrivedAt, r.Header)), reasonNoConfiguration)
 		return
 	}
 	if call := a.protocol.DecodeJobCall(r.Method, r.URL); call.Kind != port.NoJobCall {
--- a/internal/process/agent/tenant.go
+++ b/internal/process/agent/tenant.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/doorstep/doorstep/internal/request/access"
 	"github.com/doorstep/doorstep/internal/version/routes"
@@ -29,18 +30,18 @@
 func (a *Agent) admit(w http.ResponseWriter, r *http.Request, id string, table *routes.Table, anonymous bool) (access.Caller, bool) {
 	caller, verdict := a.identify(table, r.Header, anonymous)
 	if verdict != access.Admitted {
-		a.refuseKey(w, id, verdict)
+		a.refuseKey(w, id, verdict, a.callerDeadline(time.Now(), r.Header))
 		return caller, false
 	}
 	return caller, true
 }
 
-// refuseKey responds to a caller that was not admitted.
-func (a *Agent) refuseKey(w http.ResponseWriter, id string, verdict access.Verdict) {
+// refuseKey responds to a caller that was not admitted. Its deadline is zero if unknown.
+func (a *Agent) refuseKey(w http.ResponseWriter, id string, verdict access.Verdict, deadline time.Time) {
 	reason := reasonNoKey
 	switch verdict {
 	case access.Unconfirmed:
-		a.refuse(w, id, http.StatusServiceUnavailable, defaultRetryAfter, reasonUnconfirmed)
+		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(deadline), reasonUnconfirmed)
 		return
 	case access.UnknownKey:
 		reason = reasonUnknownKey
--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -185,14 +185,10 @@
 
 // Accept submits a job.
 func (j stepJobs) Accept(ctx context.Context, job *doorstepv1.BatchJob) bool {
-	until, bounded := ctx.Deadline()
+	deadline, _ := ctx.Deadline()
 	return awaitOutcome(ctx, func(done chan<- batch.Outcome) {
 		j.agent.do(func(now time.Time) {
-			var deadline time.Time
-			if bounded {
-				deadline = now.Add(time.Until(until))
-			}
-			j.agent.node.Jobs().Accept(now, job, deadline, func(_ time.Time, outcome batch.Outcome) { done <- outcome })
+			j.agent.node.Jobs().Accept(now, job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 		})
 	}) == batch.Applied
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -12,7 +12,7 @@
 const (
 	// minAttemptTime is the minimum remaining time for starting an attempt.
 	minAttemptTime = 15 * time.Millisecond
-	// retryAfter is the Retry-After of a refusal.
+	// retryAfter is the Retry-After of a refusal if the time left allows it.
 	retryAfter = 200 * time.Millisecond
 	// evacuatedRetryAfter is the Retry-After if all replicas are in evacuated zones. Evacuations last
 	// for seconds at least, so an earlier retry would be refused again.
@@ -198,7 +198,7 @@
 		return Decision{Action: Deliver}
 	}
 	if r.Remaining(now) <= 0 {
-		return r.fail(ReasonDeadline)
+		return r.fail(now, ReasonDeadline)
 	}
 	if r.mayLaunch(now) {
 		return Decision{Action: Launch}
@@ -210,9 +210,9 @@
 		return Decision{Action: Deliver}
 	}
 	if r.evacuated {
-		return r.fail(ReasonEvacuated)
+		return r.fail(now, ReasonEvacuated)
 	}
-	return r.fail(ReasonNoAttempt)
+	return r.fail(now, ReasonNoAttempt)
 }
 
 // mayLaunch reports whether another attempt is allowed and due.
@@ -243,10 +243,16 @@
 	return r.deadline
 }
 
+// LimitRetryAfter limits a Retry-After that is not tied to an event to half of the caller's remaining time, so that
+// as much is left for the retry. It returns 0, which means none, if no time remains.
+func LimitRetryAfter(after, remaining time.Duration) time.Duration {
+	return max(min(after, remaining/2).Round(time.Millisecond), 0)
+}
+
 // fail returns a failure. Its status is 503 only if the request has not run and will not run.
-func (r *Relay) fail(reason string) Decision {
+func (r *Relay) fail(now time.Time, reason string) Decision {
 	if !r.mayHaveRun && r.open == 0 {
-		after := retryAfter
+		after := LimitRetryAfter(retryAfter, r.Remaining(now))
 		if reason == ReasonEvacuated {
 			after = evacuatedRetryAfter
 		}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -162,3 +162,23 @@
 		}
 	}
 }
+
+// TestRetryAfterLeavesTimeForTheRetry guards against callers that are told to come back when most of their time, or all
+// of it, is over.
+func TestRetryAfterLeavesTimeForTheRetry(t *testing.T) {
+	route := port.Route{Kind: port.RouteNonIdempotent, MaxAttempts: 1}
+	for _, c := range []struct{ wait, refusedAt, want time.Duration }{
+		{30 * time.Second, 0, retryAfter},
+		{ms(300), 0, ms(150)},
+		{ms(300), ms(200), ms(50)},
+		{ms(300), ms(300), 0},
+	} {
+		r := New(start, &route, c.wait, ResponseTime{})
+		r.RecordLaunch(start)
+		r.RecordOutcome(NotRun)
+		got := r.Next(start.Add(c.refusedAt))
+		if got.Action != Fail || got.Status != http.StatusServiceUnavailable || got.RetryAfter != c.want {
+			t.Errorf("refused after %s of %s: %+v, want to retry after %s", c.refusedAt, c.wait, got, c.want)
+		}
+	}
+}
