Wait for claims on cold replicas as long as callers and the store need

Callers saw: with cold replicas alone, a request was refused after 100 ms even if its caller had seconds left and the store lay so far away that no claim could be granted by then; a caller with 150 ms left waited for two thirds of its time.

Cause: a fixed limit on the wait for a claim.

Change: the limit is what a claim's calls take at the store's recent latency and 100 ms, at most half of the caller's remaining time.

--- a/internal/process/agent/cold.go
+++ b/internal/process/agent/cold.go
@@ -11,22 +11,29 @@
 const (
 	// reasonCold is reported when only cold replicas are available and none has capacity.
 	reasonCold = "replicas are cold"
-	// coldClaimTimeout bounds the wait for a claim on a cold replica, which takes several
-	// store calls.
-	coldClaimTimeout = 100 * time.Millisecond
+	// A claim on a cold replica takes a few store calls in turn, and coldClaimMargin for their scheduling.
+	coldClaimCalls  = 4
+	coldClaimMargin = 100 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After value of a cold refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
 
-// chooseCold claims a cold replica for the next attempt. It returns nil if no claim succeeds within
-// coldClaimTimeout.
+// claimTimeout returns how long a request waits for a claim, given the recent latency of the store: as long as a
+// claim takes, but at most half of the caller's remaining time, as the rest is for the answer or another node.
+func claimTimeout(latency, remaining time.Duration) time.Duration {
+	return min(coldClaimMargin+coldClaimCalls*latency, remaining/2)
+}
+
+// chooseCold claims a cold replica for the next attempt. It returns nil if no claim succeeds within claimTimeout.
 func (x *exchange) chooseCold() *endpoint.Endpoint {
 	var chosen *endpoint.Endpoint
 	abandoned := false
 	done := make(chan struct{})
 	claimed := false
+	var timeout time.Duration
 	x.agent.do(func(now time.Time) {
+		timeout = claimTimeout(x.agent.node.Latency(), x.relay.Remaining(time.Now()))
 		claimed = x.agent.node.ClaimCold(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude,
 			func() bool { return !abandoned && x.request.Context().Err() == nil },
 			func(now time.Time, found *endpoint.Endpoint, retryAfter time.Duration) {
@@ -42,7 +49,7 @@
 	if !claimed {
 		return nil
 	}
-	timer := time.NewTimer(coldClaimTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-done:
@@ -51,7 +58,7 @@
 	x.agent.do(func(time.Time) {
 		abandoned = true
 		if chosen == nil && x.retryAfter == 0 {
-			x.retryAfter = defaultRetryAfter
+			x.retryAfter = retryAfterBy(x.relay.Deadline())
 		}
 	})
 	return chosen
