Leave callers one slot beside scoring calls, whatever a replica's size

Callers saw: on replicas with two or three slots scoring calls took all of them, so that callers' requests waited behind the calls of a whole job; on one with 40 slots items waited for their score beside twelve idle ones.

Cause: scoring calls got a fixed fraction (0.7) of a replica's slots.

Change: Query.ReservedSlots; scoring calls leave one slot, where there are more.

--- a/internal/process/cluster/place.go
+++ b/internal/process/cluster/place.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// maxItemLoad limits the items of batch jobs on a replica, as a multiple of its slots.
+	// maxItemLoad limits the items of batch jobs on a replica, as a multiple of its slots. Items that are queued
+	// there start as soon as a slot is free, without the delay of a load report.
 	maxItemLoad = 1.5
-	// maxScoringLoad limits the requests on a replica that may get a scoring call, as a multiple of its
-	// slots. The rest is reserved for callers.
-	maxScoringLoad = 0.7
+	// callerSlots is the number of slots on a replica that scoring calls leave to callers' requests, which need not
+	// wait behind the scoring calls of a whole job then.
+	callerSlots = 1
 )
 
 // placeItem chooses an endpoint for an item of a batch job, nil until all replicas are known.
@@ -121,7 +122,7 @@
 	}
 	query := n.query(now, route, tenant)
 	query.Exclude = exclude
-	query.MaxLoad = maxScoringLoad
+	query.MaxLoad, query.ReservedSlots = 1, callerSlots
 	return n.chooseAndRecord(&endpoint.ScoringCalls, query, route)
 }
 
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -26,8 +26,10 @@
 	Exclude map[string]bool
 	// PreferredID is the ID of the endpoint that has the request's prompt cached.
 	PreferredID string
-	// MaxLoad limits the requests on an endpoint, as a multiple of its slots.
-	MaxLoad float64
+	// MaxLoad limits the requests on an endpoint, as a multiple of its slots. ReservedSlots of them are left for
+	// others, unless the endpoint has no more.
+	MaxLoad       float64
+	ReservedSlots int
 	// Tokens is the memory that the request is expected to use and MemoryTokens the memory of a
 	// replica, both in tokens; 0 if unknown.
 	Tokens, MemoryTokens int
@@ -123,7 +125,11 @@
 
 // BelowMaxLoad drops endpoints that have reached the query's load limit.
 func BelowMaxLoad(q *Query, e *Endpoint) bool {
-	return float64(e.Load(q.Now)) < q.MaxLoad*float64(max(e.Slots, 1))
+	limit := q.MaxLoad * float64(max(e.Slots, 1))
+	if q.ReservedSlots > 0 {
+		limit = max(limit-float64(q.ReservedSlots), 1)
+	}
+	return float64(e.Load(q.Now)) < limit
 }
 
 // AmongFastest drops endpoints that are known to be slower than the fastest.
