Judge by the store's latency whether a text is delivered in time

Callers saw: runs were moved to another replica although their results could be read before the deadline, which takes the place of other items; with a slow store, runs were not moved although their results then came late.

Cause: a text had to be complete 0.5 s before the result deadline, a fixed margin.

Change: the margin is the listing delay and two calls (the write and a read) at the store's recent latency.

Evidence: with the fixed margin two of four rows of TestMovesFollowTheStore fail: a run with 250 ms to spare is moved with a near store, one with 600 ms is not with calls of 400 ms.

--- a/internal/version/batch/move.go
+++ b/internal/version/batch/move.go
@@ -19,9 +19,9 @@
 	// minDelayProbability is the probability of missing the deadline from which a run is moved.
 	// It is small because the slowest of a step's texts determines the step's duration.
 	minDelayProbability = 0.03
-	// deadlineMargin is how long before the result deadline a text should be complete, so that
-	// its result can still be listed and read.
-	deadlineMargin = 500 * time.Millisecond
+	// deliveryCalls is the number of store calls between the completion of a text and the delivery of its result:
+	// its write and a client's read.
+	deliveryCalls = 2
 )
 
 // moveReason is the reason for moving a run; empty if it is not moved.
@@ -48,7 +48,7 @@
 	maxEvents int
 	// long is set if the text was expected to be among the longest.
 	long bool
-	// timeLeft is the time until the result deadline; hasDeadline is false without one.
+	// timeLeft is the time until the text must be complete; hasDeadline is false without a result deadline.
 	timeLeft    time.Duration
 	hasDeadline bool
 }
@@ -62,8 +62,8 @@
 		return noMove
 	}
 	eventsInTime := c.events
-	if c.hasDeadline && c.timeLeft > deadlineMargin {
-		eventsInTime += int((c.timeLeft - deadlineMargin) / c.pace)
+	if c.hasDeadline && c.timeLeft > 0 {
+		eventsInTime += int(c.timeLeft / c.pace)
 	}
 	if c.maxEvents > 0 && c.maxEvents <= eventsInTime && paceRatio <= degradedPaceRatio {
 		return noMove
@@ -83,3 +83,8 @@
 	}
 	return noMove
 }
+
+// deliveryTime returns how long it takes until the result of a complete text can be read.
+func (j *Jobs) deliveryTime() time.Duration {
+	return listingDelay + deliveryCalls*j.options.StoreLatency()
+}
--- a/internal/version/batch/move_test.go
+++ b/internal/version/batch/move_test.go
@@ -104,3 +104,28 @@
 		t.Errorf("placement request %+v", wanted)
 	}
 }
+
+// TestMovesFollowTheStore guards against runs that are moved although their results can be read in time, and against runs
+// that are not moved although a slow store makes their results late.
+func TestMovesFollowTheStore(t *testing.T) {
+	const slow, fast, events = 100 * time.Millisecond, 50 * time.Millisecond, minEventsToMove
+	for _, c := range []struct {
+		name string
+		// spare is the time between the end of the text and the result deadline.
+		spare, latency time.Duration
+		moved          bool
+	}{
+		{"near store, in time", 250 * time.Millisecond, 5 * time.Millisecond, false},
+		{"near store, too late", -150 * time.Millisecond, 5 * time.Millisecond, true},
+		{"slow store, too late", 600 * time.Millisecond, 400 * time.Millisecond, true},
+		{"slow store, in time", time.Second, 400 * time.Millisecond, false},
+	} {
+		n, runs := newProgressNode(t, 4, time.Second)
+		n.latency = c.latency
+		n.replica.UpdatePace(n.now, fast)
+		n.maxEvents = events + int((progressDeadline-time.Second-c.spare)/slow)
+		if moved := runs[0].Progress(n.now, make([]port.ReplicaEvent, events), slow); moved != c.moved {
+			t.Errorf("%s: moved %t, want %t", c.name, moved, c.moved)
+		}
+	}
+}
--- a/internal/version/batch/run.go
+++ b/internal/version/batch/run.go
@@ -213,7 +213,7 @@
 	candidate := moveCandidate{
 		pace: pace, bestPace: better.Pace(now), events: len(it.events) + len(events), runEvents: len(events),
 		lengthHint: it.lengthHint, maxEvents: o.jobs.options.MaxEvents(route, it.header), long: it.long,
-		timeLeft: route.ResultDeadline - o.jobs.age(now, o.head.AcceptedAtMs), hasDeadline: route.ResultDeadline > 0,
+		timeLeft: route.ResultDeadline - o.jobs.age(now, o.head.AcceptedAtMs) - o.jobs.deliveryTime(), hasDeadline: route.ResultDeadline > 0,
 	}
 	reason := candidate.decide(o.jobs.lengthHistoryOf(o.job.Model))
 	if reason == noMove {
