Count concurrent jobs by their result deadlines

Callers saw: models whose jobs take minutes got replicas for one job alone, as jobs accepted more than 8 s apart never counted as concurrent; models whose jobs take a second got, and loaded, three times what they use.

Cause: a fixed window of 8 s, the length of one deployment's steps.

Change: the window is the longest result deadline of the batch routes in force, or how long their items may wait if none has one.

TestWorkingSetFollowsDemand states the route's deadline of its steps now; its figures stay.

--- a/internal/process/cluster/cluster.go
+++ b/internal/process/cluster/cluster.go
@@ -131,7 +131,7 @@
 	n.cold = n.newColdReplicas()
 	n.jobs = batch.New(batch.Options{
 		Self: options.Name, Incarnation: options.Incarnation, Topology: options.Topology, Queue: n.queue, Random: n.random,
-		Place: n.placeItem, PlaceScoring: n.placeScoring, ResponseTimes: n.responseTimes, FindEndpoint: n.endpoints.Find, Route: n.Route, StoreClock: n.clock.bounds,
+		Place: n.placeItem, PlaceScoring: n.placeScoring, ResponseTimes: n.responseTimes, ResultTime: n.resultTime, FindEndpoint: n.endpoints.Find, Route: n.Route, StoreClock: n.clock.bounds,
 		StoreLatency: n.Latency, NodeCount: n.NodeCount, Fitness: n.fitness,
 		LengthHint: options.Decoder.LengthHint, MaxEvents: n.maxEvents, MaxTextEvents: n.maxTextEvents, ExpectedTokens: n.expectedTokens, ObservedUntil: n.sharedObservedUntil,
 		Quarantine: n.quarantine, Homes: n.jobHomes(),
--- a/internal/process/cluster/workingset.go
+++ b/internal/process/cluster/workingset.go
@@ -26,6 +26,14 @@
 	computedAt time.Time
 }
 
+// resultTime returns the longest time that a batch job has for its results, 0 if unlimited or unknown.
+func (n *Node) resultTime() time.Duration {
+	if n.routes == nil {
+		return 0
+	}
+	return n.routes.ResultTime()
+}
+
 // workingSet returns the replicas that should load the versions of models. Its size depends on the
 // models' running items and not on the size of the service.
 func (n *Node) workingSet(now time.Time, models []string) []*endpoint.Endpoint {
--- a/internal/process/cluster/workingset_test.go
+++ b/internal/process/cluster/workingset_test.go
@@ -16,7 +16,7 @@
 	var sizes []int
 	for _, replicas := range []int{9625, 19250} {
 		n := newNode()
-		n.applyRoutes(start, &port.RouteTable{Version: 1, Services: []port.Service{{Name: "s"}}})
+		n.applyRoutes(start, &port.RouteTable{Version: 1, Services: []port.Service{{Name: "s"}}, Routes: []port.Route{{Name: "r", Kind: port.RouteBatch, ResultDeadline: 7500 * time.Millisecond}}})
 		versions := map[string]int64{"unknown": 1}
 		models := []string{"unknown"}
 		for model := range 6 {
--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -89,6 +89,8 @@
 	// PlaceScoring chooses an endpoint outside exclude for a tenant's scoring call, or returns
 	// nil if none has capacity.
 	PlaceScoring func(now time.Time, route *port.Route, tenant string, exclude map[string]bool) *endpoint.Endpoint
+	// ResultTime returns the longest time that a batch job has for its results, 0 if unlimited.
+	ResultTime func() time.Duration
 	// ResponseTimes estimates how long scoring calls take.
 	ResponseTimes *relay.ResponseTimes
 	// LengthHint returns the expected number of tokens given in a request header, or 0.
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -22,17 +22,17 @@
 	return demand
 }
 
-const (
-	// overlapWindow is the maximum time between the acceptance of two jobs of a model that run
-	// concurrently. Steps are due within 8 s, and trainers request the next one before that.
-	overlapWindow = 8 * time.Second
-	// capacityWindow is how long a job counts towards the peak of its model. Trainers may take
-	// minutes between steps.
-	capacityWindow = 10 * time.Minute
-)
+// capacityWindow is how long a job counts towards the peak of its model. Trainers may take minutes
+// between steps.
+const capacityWindow = 10 * time.Minute
 
-// PeakItems returns the peak number of concurrent items of recent jobs by model.
+// PeakItems returns the peak number of concurrent items of recent jobs by model. Jobs run
+// concurrently if one is accepted before the results of the other are due.
 func (j *Jobs) PeakItems(now time.Time) map[string]int {
+	overlap := capacityWindow
+	if limit := j.options.ResultTime(); limit > 0 {
+		overlap = limit
+	}
 	byModel := map[string][]*head{}
 	for _, known := range j.heads {
 		if known.Model != "" && j.age(now, known.AcceptedAtMs) < capacityWindow {
@@ -45,7 +45,7 @@
 		first, sum := 0, 0
 		for _, newest := range heads {
 			sum += int(newest.Total)
-			for newest.AcceptedAtMs-heads[first].AcceptedAtMs >= overlapWindow.Milliseconds() {
+			for newest.AcceptedAtMs-heads[first].AcceptedAtMs >= overlap.Milliseconds() {
 				sum -= int(heads[first].Total)
 				first++
 			}
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -77,6 +77,7 @@
 			}
 			return n.scorer
 		},
+		ResultTime:    func() time.Duration { return n.route.ResultDeadline },
 		ResponseTimes: relay.NewResponseTimes(),
 		FindEndpoint:  func(string) *endpoint.Endpoint { return n.replica },
 		Route: func(_, path string) *port.Route {
--- a/internal/version/routes/routes.go
+++ b/internal/version/routes/routes.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
 )
@@ -18,6 +19,8 @@
 	byName   map[string]*port.Route
 	services map[string]port.Service
 	limits   port.IngressLimits
+	// resultTime is the longest time that a batch job has for its results.
+	resultTime time.Duration
 	// tenants holds the tenants' names by the digests of their API keys, or is nil if no tenants
 	// are configured.
 	tenants map[port.KeyDigest]string
@@ -33,6 +36,7 @@
 		host := normalizeHost(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
 		table.byName[route.Name] = route
+		table.resultTime = max(table.resultTime, resultTimeOf(route))
 	}
 	for _, list := range table.byHost {
 		slices.SortStableFunc(list, func(a, b *port.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
@@ -45,6 +49,21 @@
 	return table
 }
 
+// resultTimeOf returns how long a route's batch jobs may take: until their results are due or, without a result
+// deadline, until their items expire. It is 0 for other routes and if neither is configured.
+func resultTimeOf(route *port.Route) time.Duration {
+	if route.Kind != port.RouteBatch {
+		return 0
+	}
+	if route.ResultDeadline > 0 {
+		return route.ResultDeadline
+	}
+	return route.MaxQueue
+}
+
+// ResultTime returns the longest time that a batch job has for its results, 0 if unlimited.
+func (t *Table) ResultTime() time.Duration { return t.resultTime }
+
 func tenantsByKey(tenants []port.Tenant) map[port.KeyDigest]string {
 	if len(tenants) == 0 {
 		return nil
