Order replicas by the work that is left and the time it has

Callers saw: a trainer with short texts and much time got as many replicas as one with long texts and little: 0.6 of a slot for each item. Items of the latter ended after their results were due, while the former paid for replicas that it did not need.

Cause: a fixed number of slots per item, and a peak that counted for a fixed 15 s.

Change: scaling goes by Service.RequiredSlots. The last item of a job starts once the slots have done all other work, and may be one of the longest; so the expected tokens at the replicas' mean pace, divided by the time left beside one of the longest texts, is the number of slots that suffices in any order. Where lengths, pace or deadline are unknown each item gets a slot. A peak counts until replicas ordered for it could have started, so that a refused order is repeated.

TestRemainingWork covers jobs without hints. The tests of scaling state required slots in place of items, 0.6 of the numbers of before; their expected orders are unchanged.

--- a/internal/process/cluster/duties.go
+++ b/internal/process/cluster/duties.go
@@ -122,19 +122,23 @@
 }
 
 // scaledServices returns the services with scaling enabled.
-func (n *Node) scaledServices() []scaling.Service {
+func (n *Node) scaledServices(now time.Time) []scaling.Service {
 	if n.routes == nil {
 		return nil
 	}
-	outstanding := n.jobs.Outstanding()
+	remaining, longest := n.jobs.RemainingWork(), n.jobs.LongestEvents(now)
 	var list []scaling.Service
 	for _, service := range n.routes.Services() {
 		if service.Scaling == nil {
 			continue
 		}
 		one := scaling.Service{Name: service.Name, Scaling: *service.Scaling, Zones: n.zonesOf(service)}
+		pace := n.meanPace(now, service.Name)
 		for _, model := range service.Models {
-			one.Items += outstanding[model]
+			one.Items += remaining[model].Items
+			one.RequiredSlots += requiredSlots(remaining[model], generation{
+				eventTokens: service.EventTokens, pace: pace, longestEvents: longest[model], limit: n.resultTime(),
+			})
 		}
 		list = append(list, one)
 	}
--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -84,15 +84,36 @@
 	return total
 }
 
-// Outstanding returns the number of unlisted items of open jobs by model.
-func (j *Jobs) Outstanding() map[string]int {
-	outstanding := map[string]int{}
+// Work is the remaining work of a model's open jobs.
+type Work struct {
+	// Items is the number of unlisted items, Tokens the number of tokens that they are expected to generate; 0 if
+	// unknown.
+	Items  int
+	Tokens int64
+}
+
+// RemainingWork returns the work of all open jobs by model. The tokens of a model are unknown if one of its jobs
+// has no length hints.
+func (j *Jobs) RemainingWork() map[string]Work {
+	remaining, unknown := map[string]Work{}, map[string]bool{}
 	for _, known := range j.heads {
-		if !known.Ended && known.Model != "" {
-			outstanding[known.Model] += int(known.Total - known.Listed)
+		left := int64(known.Total - known.Listed)
+		if known.Ended || known.Model == "" || left <= 0 {
+			continue
+		}
+		work := remaining[known.Model]
+		work.Items += int(left)
+		// An item without a hint counts as one token.
+		unknown[known.Model] = unknown[known.Model] || known.ExpectedTokens <= int64(known.Total)
+		work.Tokens += known.ExpectedTokens * left / int64(known.Total)
+		remaining[known.Model] = work
+	}
+	for model := range unknown {
+		if unknown[model] {
+			remaining[model] = Work{Items: remaining[model].Items}
 		}
 	}
-	return outstanding
+	return remaining
 }
 
 // Owner is the owner of an open job that requires model weights of at least MinVersion.
--- a/internal/version/batch/demand_test.go
+++ b/internal/version/batch/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -38,3 +39,26 @@
 		}
 	}
 }
+
+// TestRemainingWork guards against work that is taken as small because its lengths are unknown, or counted again after
+// its results were listed.
+func TestRemainingWork(t *testing.T) {
+	head := func(model string, total, listed int32, tokens int64, ended bool) *doorstepv1.BatchJobHead {
+		return &doorstepv1.BatchJobHead{Model: model, Total: total, Listed: listed, ExpectedTokens: tokens, Ended: ended}
+	}
+	n := newTestNode("a", newStore())
+	for i, one := range []*doorstepv1.BatchJobHead{
+		head("m", 10, 0, 1000, false), head("m", 10, 5, 400, false), head("m", 10, 0, 1000, true),
+		head("hintless", 10, 0, 10, false), head("hintless", 10, 0, 1000, false), head("done", 10, 10, 500, false),
+	} {
+		value, err := proto.Marshal(one)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.jobs.OnHead(n.now, port.Record{RecordKey: headKey(fmt.Sprint("j", i)), Value: value, Revision: int64(i) + 1})
+	}
+	want := map[string]Work{"m": {Items: 15, Tokens: 1200}, "hintless": {Items: 20}}
+	if got := n.jobs.RemainingWork(); !maps.Equal(got, want) {
+		t.Errorf("remaining work %v, want %v", got, want)
+	}
+}
--- a/internal/version/scaling/scaling.go
+++ b/internal/version/scaling/scaling.go
@@ -18,13 +18,8 @@
 )
 
 const (
-	// slotsPerItem is the number of slots per item in progress at the peak. It is below one because
-	// items with short texts share a slot.
-	slotsPerItem = 0.6
 	// tickInterval is the interval between evaluations.
 	tickInterval = 250 * time.Millisecond
-	// peakWindow is how long a peak of the work counts. Trainers request steps every few seconds.
-	peakWindow = 15 * time.Second
 	// growThreshold is the fraction by which the number needed must exceed the current one before
 	// replicas are added.
 	growThreshold = 0.1
@@ -62,9 +57,10 @@
 type Service struct {
 	Name string
 	port.Scaling
-	// Items is the number of batch items in progress.
-	Items int
-	Zones []Zone
+	// Items is the number of batch items in progress, RequiredSlots the number of slots that complete
+	// them in time.
+	Items, RequiredSlots int
+	Zones                []Zone
 }
 
 // Options configures a Scaler.
@@ -73,7 +69,7 @@
 	Queue *task.Queue
 	Lease *recordlease.Lease
 	// Services returns the current state of all services whose replica count can be ordered.
-	Services func() []Service
+	Services func(now time.Time) []Service
 	// ListedSince returns since when the list of replicas has been continuously available, or zero
 	// if it is not.
 	ListedSince func() time.Time
@@ -91,7 +87,7 @@
 
 // serviceState is the recent state of a service.
 type serviceState struct {
-	// work tracks the number of items in progress.
+	// work tracks the number of slots required.
 	work *peakTracker
 	// activeZones are the zones that share the work. changedAt is when they last changed.
 	activeZones []string
@@ -127,7 +123,7 @@
 		return
 	}
 	s.nextTick = now.Add(tickInterval)
-	for _, service := range s.options.Services() {
+	for _, service := range s.options.Services(now) {
 		s.tickService(now, service)
 	}
 }
@@ -138,7 +134,7 @@
 		state = &serviceState{work: &peakTracker{since: now}, activeZones: activeZoneNames(service)}
 		s.services[service.Name] = state
 	}
-	state.work.add(now, service.Items)
+	state.work.add(now, service.RequiredSlots)
 	if active := activeZoneNames(service); !slices.Equal(active, state.activeZones) {
 		state.activeZones, state.changedAt = active, now
 	}
@@ -185,7 +181,9 @@
 // targetReplicas returns the number of replicas that a zone should have.
 func (s *Scaler) targetReplicas(now time.Time, service Service, zone Zone, state *serviceState) int {
 	clamp := func(replicas int) int { return min(max(replicas, service.Min, 1), service.Max) }
-	needed := clamp(replicasFor(state.work.maxWithin(now, peakWindow), zone.Slots, len(state.activeZones)))
+	// A peak counts until the replicas ordered for it could have started, as an order may have to be repeated.
+	peak := state.work.maxWithin(now, startupLimit(service))
+	needed := clamp(replicasFor(peak, zone.Slots, len(state.activeZones)))
 	if float64(needed) >= (1+growThreshold)*float64(zone.Replicas) || zone.Replicas < service.Min {
 		return clamp(max(needed, s.zoneStateOf(now, service, zone).listed.maxWithin(now, floorWindow)))
 	}
@@ -201,21 +199,24 @@
 	return zone.Replicas
 }
 
-// replicasFor returns the number of replicas that a zone needs for its share of the items, or 0 if
-// the number of slots is unknown.
-func replicasFor(items, slots, zones int) int {
+// replicasFor returns the number of replicas that a zone needs for its share of the required slots,
+// or 0 if the number of slots per replica is unknown.
+func replicasFor(required, slots, zones int) int {
 	if slots <= 0 || zones <= 0 {
 		return 0
 	}
-	return int(math.Ceil(slotsPerItem * float64(items) / float64(slots*zones)))
+	return int(math.Ceil(float64(required) / float64(slots*zones)))
 }
 
+// startupLimit returns the time within which ordered replicas should have started.
+func startupLimit(service Service) time.Duration { return service.StartupTime + startMargin }
+
 // order orders a zone's number of replicas. An order is not repeated or reduced before its replicas
 // could have started.
 func (s *Scaler) order(now time.Time, service Service, zone Zone, target int) {
 	last := s.zoneStateOf(now, service, zone)
-	repeated := last.replicas == target && now.Sub(last.orderedAt) < service.StartupTime+startMargin
-	shrinking := target < last.replicas && now.Sub(last.orderedAt) < service.StartupTime+startMargin
+	repeated := last.replicas == target && now.Sub(last.orderedAt) < startupLimit(service)
+	shrinking := target < last.replicas && now.Sub(last.orderedAt) < startupLimit(service)
 	if last.requestPending || repeated || shrinking || now.Before(last.notBefore) || !s.options.Lease.TryAct(now, service.Name+"/"+zone.Name) {
 		return
 	}
@@ -230,7 +231,7 @@
 func (s *Scaler) onOrdered(now time.Time, service Service, zone Zone, target int, last *zoneState, status port.DutyStatus) {
 	last.requestPending = false
 	s.options.Queue.Log(event.ReplicasOrdered, "service", service.Name, "zone", zone.Name, "replicas", target, "listed", zone.Replicas,
-		"items", service.Items, "status", status.String())
+		"items", service.Items, "required_slots", service.RequiredSlots, "status", status.String())
 	switch status {
 	case port.DutyDone:
 		last.replicas, last.orderedAt = target, now
--- a/internal/version/scaling/scaling_test.go
+++ b/internal/version/scaling/scaling_test.go
@@ -48,7 +48,7 @@
 	}
 	b.listedSince = b.now.Add(-time.Minute)
 	b.scaler = New(Options{
-		Self: "a", Queue: b.queue, Lease: b.lease, Services: func() []Service { return []Service{b.service} },
+		Self: "a", Queue: b.queue, Lease: b.lease, Services: func(time.Time) []Service { return []Service{b.service} },
 		ListedSince: func() time.Time { return b.listedSince },
 	})
 	return b
@@ -97,20 +97,21 @@
 	for _, c := range []struct {
 		name  string
 		zones []int
-		items int
+		// required is the number of slots required.
+		required int
 		// replicas is the expected number per zone, orders the expected number of orders.
 		replicas, orders int
 	}{
 		{"no work", []int{5, 5, 5}, 0, 5, 0},
-		{"sufficient replicas", []int{5, 5, 5}, 250, 5, 0},
-		{"slightly more work than replicas", []int{11, 11, 11}, 560, 11, 0},
-		{"much work", []int{5, 5, 5}, 450, 9, 3},
-		{"more than the maximum", []int{5, 5, 5}, 5000, 12, 3},
-		{"a zone without replicas", []int{5, 0, 5}, 250, 5, 1},
+		{"sufficient replicas", []int{5, 5, 5}, 150, 5, 0},
+		{"slightly more work than replicas", []int{11, 11, 11}, 336, 11, 0},
+		{"much work", []int{5, 5, 5}, 270, 9, 3},
+		{"more than the maximum", []int{5, 5, 5}, 3000, 12, 3},
+		{"a zone without replicas", []int{5, 0, 5}, 150, 5, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBench(c.zones...)
-			b.service.Items = c.items
+			b.service.RequiredSlots = c.required
 			b.run(20 * time.Second)
 			for _, got := range b.replicas() {
 				if got != c.replicas {
@@ -127,7 +128,7 @@
 // TestLostReplicasAreReplaced checks that lost replicas are ordered again.
 func TestLostReplicasAreReplaced(t *testing.T) {
 	b := newTestBench(5, 5)
-	b.service.Items = 160
+	b.service.RequiredSlots = 96
 	b.run(5 * time.Second)
 	b.service.Zones[0].Replicas = 3
 	b.run(15 * time.Second)
@@ -139,7 +140,7 @@
 // TestRefusedOrdersAreRepeated checks that rejected orders are repeated at a limited rate.
 func TestRefusedOrdersAreRepeated(t *testing.T) {
 	b := newTestBench(5)
-	b.service.Items = 150
+	b.service.RequiredSlots = 90
 	b.status = port.DutyRefused
 	b.run(5 * time.Second)
 	refused := len(b.orders)
@@ -153,23 +154,23 @@
 // TestReplicasAreRemovedAfterDelay checks that replicas are not removed during a short pause.
 func TestReplicasAreRemovedAfterDelay(t *testing.T) {
 	b := newTestBench(10)
-	b.service.Items = 160
+	b.service.RequiredSlots = 96
 	b.run(10 * time.Second)
-	b.service.Items = 20
+	b.service.RequiredSlots = 12
 	b.run(shrinkDelay - 20*time.Second)
 	if len(b.orders) != 0 {
 		t.Fatalf("%d orders during a short pause", len(b.orders))
 	}
 	b.run(time.Minute)
 	if got := b.replicas()[0]; got != 2 {
-		t.Errorf("%d replicas for 20 items, want 2", got)
+		t.Errorf("%d replicas for 12 slots, want 2", got)
 	}
 }
 
 // TestFencedHolderStops checks that orders carry a fence, with a platform that rejects it.
 func TestFencedHolderStops(t *testing.T) {
 	b := newTestBench(5)
-	b.service.Items = 150
+	b.service.RequiredSlots = 90
 	b.status = port.DutyFenced
 	b.run(time.Second)
 	if len(b.orders) == 0 || b.orders[0].Fence == 0 {
@@ -182,7 +183,7 @@
 func TestNoOrdersBeforeListIsComplete(t *testing.T) {
 	b := newTestBench(0, 0, 0)
 	b.listedSince = b.now
-	b.service.Items = 60
+	b.service.RequiredSlots = 36
 	b.run(2 * time.Second)
 	for i := range b.service.Zones {
 		b.service.Zones[i].Replicas = 9
@@ -197,7 +198,7 @@
 // outage are not removed.
 func TestReplicasWithExpiredRecordsAreKept(t *testing.T) {
 	b := newTestBench(9)
-	b.service.Items = 60
+	b.service.RequiredSlots = 36
 	b.run(10 * time.Second)
 	b.service.Zones[0].Replicas = 0
 	b.listedSince = time.Time{}
@@ -222,7 +223,7 @@
 func TestUnknownNumberOfSlots(t *testing.T) {
 	b := newTestBench(0, 0)
 	b.service.Min = 2
-	b.service.Items = 300
+	b.service.RequiredSlots = 180
 	for i := range b.service.Zones {
 		b.service.Zones[i].Slots = 0
 	}
@@ -241,7 +242,7 @@
 // evacuated zone, and the zone itself none.
 func TestEvacuatedZonesAreAbsent(t *testing.T) {
 	b := newTestBench(6, 6, 6)
-	b.service.Items = 300
+	b.service.RequiredSlots = 180
 	b.run(shrinkDelay)
 	if len(b.orders) != 0 {
 		t.Fatalf("orders before the evacuation: %+v", b.orders)
@@ -269,7 +270,7 @@
 // removed immediately after it.
 func TestNoRemovalImmediatelyAfterEvacuation(t *testing.T) {
 	b := newTestBench(5, 5)
-	b.service.Items = 160
+	b.service.RequiredSlots = 96
 	b.service.Zones[0].Evacuated = true
 	b.run(2 * shrinkDelay)
 	if got := b.replicas(); got[0] != 5 || got[1] != 10 {
@@ -290,7 +291,7 @@
 // TestAllZonesEvacuated checks that nothing is ordered while all zones are evacuated.
 func TestAllZonesEvacuated(t *testing.T) {
 	b := newTestBench(2, 2)
-	b.service.Items = 500
+	b.service.RequiredSlots = 300
 	for i := range b.service.Zones {
 		b.service.Zones[i].Evacuated = true
 	}
