Comment on the promises behind remaining fractions

Reads of the shares of a bound that stay: the fraction of the report delay in usage leaves time for the report and another holder, the fraction of replicas that load at once leaves two of three serving, exchanges wait while items would, and a model's demand spans several steps. No code is changed.

--- a/internal/version/batch/demand.go
+++ b/internal/version/batch/demand.go
@@ -8,7 +8,8 @@
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 )
 
-// demandWindow is how long a job counts as demand after its acceptance.
+// demandWindow is how long a job counts as demand after its acceptance. It spans several steps, as a model's share of
+// the replicas should not change with each of them.
 const demandWindow = 20 * time.Second
 
 // Demand returns the expected number of tokens of recent jobs by model.
--- a/internal/version/rollout/exchange.go
+++ b/internal/version/rollout/exchange.go
@@ -16,7 +16,8 @@
 	// Lengths are estimates, and reverting an exchange costs loads.
 	minLengthRatio = 1.2
 	// Exchanges start only while fewer than 1/outdatedDivisor of the service's replicas lack a
-	// version that their model's steps accept. Each exchange adds two such replicas.
+	// version that their model's steps accept, as items wait for the others. Each exchange adds
+	// two such replicas.
 	outdatedDivisor = 8
 )
 
--- a/internal/version/rollout/limit.go
+++ b/internal/version/rollout/limit.go
@@ -6,7 +6,8 @@
 	// minConcurrentLoads is the number of replicas per service that may always load concurrently.
 	minConcurrentLoads = 2
 	// The limit starts at initialLoadFraction of a service's replicas, doubles up to
-	// rampLoadFraction, and never exceeds maxLoadFraction.
+	// rampLoadFraction, and never exceeds maxLoadFraction, so that two of three replicas go on
+	// serving while the others load.
 	initialLoadFraction = 0.1
 	rampLoadFraction    = 0.2
 	maxLoadFraction     = 0.34
--- a/internal/version/usage/reporter.go
+++ b/internal/version/usage/reporter.go
@@ -17,7 +17,8 @@
 
 const (
 	// collectFraction is the fraction of the report delay that passes before counts are added up.
-	// Nodes that cannot reach the store have until then to write theirs.
+	// Nodes that cannot reach the store have until then to write theirs; the rest is for reading
+	// them, for the report and its retries, and for another holder of the lease.
 	collectFraction = 0.55
 	// clockPropagationDelay is how long after the clock was first set the holder waits before it
 	// adds up counts. Nodes write their earlier counts only once they have seen the clock.
