Release the content of answered submissions

Change: finish releases the chunks, and late answers to content writes are ignored. TestLateWriteOfAnAnsweredSubmission asks for this; without the check in the callback it panics. The response time of a route is read under the lock alone.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -66,8 +66,9 @@
 // newExchange returns the exchange of a request. The caller's time counts from its arrival, before its body was read.
 func (a *Agent) newExchange(r *http.Request, arrivedAt time.Time, route *port.Route, caller access.Caller, id string, body []byte) *exchange {
 	timeout, _ := a.protocol.Deadline(r.Header)
-	var expected relay.ResponseTime
-	a.do(func(time.Time) { expected = a.node.ResponseTimes().Of(route.Name) })
+	a.mu.Lock()
+	expected := a.node.ResponseTimes().Of(route.Name)
+	a.mu.Unlock()
 	call := quarantine.Call{Method: r.Method, Host: r.Host, Target: target(r), Tenant: caller.Tenant, Body: body}
 	return &exchange{
 		agent: a, request: r, route: route, caller: caller, id: id, body: body, relay: relay.New(arrivedAt, route, timeout, expected),
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -160,12 +160,14 @@
 	s.headSentAt = now
 	if len(s.leadingChunks) > 0 {
 		s.jobs.commit(port.RecordTransaction{Puts: s.leadingChunks[0]}, func(now time.Time, result port.RecordResult) {
-			if result.Status == port.RecordDone {
+			switch {
+			case s.retries.finished:
+			case result.Status == port.RecordDone:
 				s.leadingChunks = s.leadingChunks[1:]
 				s.submit(now)
-				return
+			default:
+				s.retry(now, false)
 			}
-			s.retry(now, false)
 		})
 		return
 	}
@@ -238,6 +240,8 @@
 		return
 	}
 	s.retries.finished = true
+	// The timer of the deadline still refers to the submission.
+	s.leadingChunks, s.finalChunks = nil, nil
 	s.jobs.logAcceptance(now, s.job, outcome, now.Sub(s.retries.startedAt))
 	s.done(now, outcome)
 }
--- a/internal/version/batch/callretry_test.go
+++ b/internal/version/batch/callretry_test.go
@@ -87,6 +87,33 @@
 	}
 }
 
+// TestLateWriteOfAnAnsweredSubmission guards against a submission that goes on after its client was told that nothing is
+// stored, because a write of its content was answered late.
+func TestLateWriteOfAnAnsweredSubmission(t *testing.T) {
+	n := newTestNode("a", newStore())
+	job := newJob("j", 2)
+	job.Items[0].Body = make([]byte, 2*maxTransactionBytes)
+	var outcome Outcome = -1
+	n.jobs.Accept(n.now, job, n.now.Add(100*time.Millisecond), func(_ time.Time, got Outcome) { outcome = got })
+	var commits []task.Commit
+	for _, queued := range n.queue.Take() {
+		switch t := queued.(type) {
+		case task.Commit:
+			commits = append(commits, t)
+		case task.Timer:
+			n.now = n.now.Add(t.After)
+			t.Do(n.now)
+		}
+	}
+	for _, commit := range commits {
+		commit.Done(n.now, n.store.Commit(n.now, commit.Transaction))
+	}
+	n.elapse(time.Second)
+	if _, known := n.jobs.Lookup("j"); len(commits) != 1 || outcome != NotApplied || known {
+		t.Errorf("%d writes, outcome %d, stored %t", len(commits), outcome, known)
+	}
+}
+
 // rejectWrites ends all later writes with a status; with none, they are not answered.
 func (n *testNode) rejectWrites(status *port.RecordStatus) {
 	n.storeSilent = status == nil
