--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -60,9 +60,10 @@
 }
 
 const (
-	// DefaultPriority is the rank of requests without one, MaxPriority the last rank.
+	// DefaultPriority is the rank of requests without one.
 	DefaultPriority = 5
-	MaxPriority     = 9
+	// MaxPriority is the last rank.
+	MaxPriority = 9
 )
 
 // Service is a set of interchangeable replicas.
