--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -175,7 +175,7 @@
 	{UsageReported, Info, "usage reported", "The report of a window was sent to the platform. status is its answer, late tells that the report was overdue."},
 	{UsageLost, Warn, "usage lost", "Counted requests will be missing from all reports. reason gives the cause."},
 	{UsageClockSet, Info, "usage clock set", "The clock offset of the usage windows was derived from the nodes' wall clocks."},
-	{ReplicasOrdered, Info, "replicas ordered", "Replicas of a service in a zone were requested from the platform. status is its answer."},
+	{ReplicasOrdered, Info, "replicas ordered", "Replicas of a service in a zone were requested from the platform. items are the batch items in progress, required_slots the slots that complete them in time. status is the platform's answer."},
 	{LogLinesDropped, Warn, "log lines dropped", "Log lines were dropped because the log's buffer was full or its rate limit exceeded."},
 }
 
