--- a/internal/port/deployment.go
+++ b/internal/port/deployment.go
@@ -35,7 +35,7 @@
 	Kind       RouteKind
 	// Timeout bounds how long a request may take.
 	Timeout time.Duration
-	// Objective is the target response time, which operators see. Waits and refusals follow from the callers' timeouts.
+	// Objective is the operators' target response time. No wait or refusal follows from it.
 	Objective time.Duration
 	// Backends has at least one entry.
 	Backends []Backend
--- a/internal/process/cluster/requiredslots.go
+++ b/internal/process/cluster/requiredslots.go
@@ -17,9 +17,9 @@
 	limit time.Duration
 }
 
-// requiredSlots returns the number of slots that complete the work in time: whatever the order of the items, the last
-// one starts once the slots have done all other work, and may be one of the longest. More slots than items are of no
-// use. If the work cannot be estimated, each item gets a slot.
+// requiredSlots returns the number of slots that complete the work in time, in whatever order items run: the last one
+// starts once the slots have done the rest of the work, and may be one of the longest. There is no use for more slots
+// than items. If the work cannot be estimated, each item gets a slot.
 func requiredSlots(work batch.Work, g generation) int {
 	spare := g.limit - time.Duration(g.longestEvents)*g.pace
 	if work.Tokens <= 0 || g.eventTokens <= 0 || g.pace <= 0 || g.longestEvents <= 0 || spare <= 0 {
--- a/internal/process/endpoint/pick.go
+++ b/internal/process/endpoint/pick.go
@@ -71,10 +71,11 @@
 	lowestDelay bool
 }
 
-// Requests is the profile for callers' requests, HedgedRequests for further attempts beside one in progress, and Rollouts the one for items of batch jobs, which
-// prefer the endpoint that has their prompt cached. LongRollouts is for items with long texts: they
-// determine when a job completes, so they prefer the fastest endpoints. ScoringCalls is for scoring
-// calls, which leave capacity for callers' requests.
+// Requests is the profile for callers' requests and HedgedRequests the one for further attempts
+// beside one in progress. Rollouts is for items of batch jobs, which prefer the endpoint that has
+// their prompt cached. LongRollouts is for items with long texts: they determine when a job
+// completes, so they prefer the fastest endpoints. ScoringCalls is for scoring calls, which leave
+// capacity for callers' requests.
 var (
 	Requests = Profile{
 		filters:     []Filter{IsSchedulable, InHomes, NotExcluded, NotEjected, VersionReached},
--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -67,9 +67,9 @@
 	done       func(now time.Time, outcome Outcome)
 }
 
-// Accept stores a job and assigns its owner. The client waits until the deadline, zero if unknown. Content that does not fit into the final
-// transaction is written first: it is identical on every retry and unreferenced until the head
-// record exists.
+// Accept stores a job and assigns its owner. The client waits until the deadline, zero if unknown.
+// Content that does not fit into the final transaction is written first: it is identical on every
+// retry and unreferenced until the head record exists.
 func (j *Jobs) Accept(now time.Time, job *doorstepv1.BatchJob, deadline time.Time, done func(now time.Time, outcome Outcome)) {
 	if known := j.heads[job.Id]; known != nil {
 		outcome := duplicateOutcome(known.BatchJobHead, job)
