--- a/internal/process/endpoint/endpoint.go
+++ b/internal/process/endpoint/endpoint.go
@@ -148,9 +148,6 @@
 	e.latency += time.Duration(latencyWeight * float64(latency-e.latency))
 }
 
-// Latency returns the average time of answered attempts, which is that to the first event for runs; 0 if unknown.
-func (e *Endpoint) Latency() time.Duration { return e.latency }
-
 // UpdatePace records the mean time between two events of a run.
 func (e *Endpoint) UpdatePace(now time.Time, pace time.Duration) {
 	if pace <= 0 {
