Answers without a length that are cut during the upload are not complete

Clients got a part of an answer as a whole one: a replica answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: such an answer ends with its connection, and Linux reports a reset to one system call only. A large body is written by a goroutine of its own. If its write receives the reset (ECONNRESET or EPIPE), the read of the answer sees an ordinary end. The error of the write was looked at in Close, after the answer counted as complete.

Change: the end of an answer without a length completes it only once the upload has been written without an error. Framed answers are complete by their framing as before, also before the end of the upload. All that reads an Answer is covered: requests, streams, items, scoring, orders, reports.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -153,15 +153,16 @@
 
 // Answer is a replica's answer whose body has yet to be read.
 type Answer struct {
-	Status      int
-	Header      http.Header
-	body        io.ReadCloser
-	client      *Client
-	conn        *connection
-	reuse       bool
-	stop        func() bool
-	bodyWritten chan error
-	complete    bool
+	Status   int
+	Header   http.Header
+	body     io.ReadCloser
+	client   *Client
+	conn     *connection
+	framed   bool
+	reuse    bool
+	stop     func() bool
+	upload   *upload
+	complete bool
 }
 
 // Do sends a call and reads the header of its answer. The context covers the whole exchange: when it
@@ -190,7 +191,7 @@
 }
 
 func (c *Client) exchange(conn *connection, call *Call) (*Answer, error) {
-	writes, err := write(conn, call)
+	upload, err := write(conn, call)
 	if err != nil {
 		return nil, err
 	}
@@ -209,8 +210,8 @@
 		}
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, body: response.Body, client: c, conn: conn, bodyWritten: writes,
-		reuse: !response.Close && framed(response),
+		Status: response.StatusCode, Header: response.Header, body: response.Body, client: c, conn: conn, upload: upload,
+		framed: framed(response), reuse: !response.Close && framed(response),
 	}, nil
 }
 
@@ -237,7 +238,7 @@
 
 // write sends the header and a small body. A large body is written concurrently with reading the
 // answer, which may arrive early.
-func write(conn *connection, call *Call) (chan error, error) {
+func write(conn *connection, call *Call) (*upload, error) {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
 	if err := call.Header.Write(&head); err != nil {
@@ -250,41 +251,40 @@
 	if len(call.Body) <= maxInlineBody {
 		head.Write(call.Body)
 		_, err := conn.Write(head.Bytes())
-		return nil, err
+		return finishedUpload, err
 	}
 	if _, err := conn.Write(head.Bytes()); err != nil {
 		return nil, err
 	}
-	writes := make(chan error, 1)
+	started := &upload{done: make(chan struct{})}
 	go func() {
-		_, err := conn.Write(call.Body)
-		writes <- err
+		defer close(started.done)
+		_, started.err = conn.Write(call.Body)
 	}()
-	return writes, nil
+	return started, nil
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only if the body was received completely.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if err == io.EOF {
-		a.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if !a.framed {
+		// Such an answer ends with its connection. A reset is reported once: if the write of the request received it,
+		// the read sees an ordinary end.
+		if err := a.upload.wait(); err != nil {
+			return n, err
+		}
+	}
+	a.complete = true
+	return n, io.EOF
 }
 
 // Close ends the exchange. The connection is kept for reuse if the answer was received completely.
 func (a *Answer) Close() {
 	a.stop()
-	written := true
-	if a.bodyWritten != nil {
-		select {
-		case err := <-a.bodyWritten:
-			written = err == nil
-		default:
-			written = false
-		}
-	}
-	if a.complete && a.reuse && written && a.conn.reader.Buffered() == 0 {
+	if a.complete && a.reuse && a.upload.succeeded() && a.conn.reader.Buffered() == 0 {
 		a.client.keep(a.conn, a.Header)
 		return
 	}
