Answers with a space in a field's name are refused

Clients got such answers: the line was passed on ("X Foo: 1"), or, with "Content-Length : 3" or "Transfer-Encoding : chunked", the framing of the answer came as its body.

Cause: net/textproto allows spaces in the names of fields.

Change: a space in a name is refused in each place that has fields: the head of an answer, informational and surplus heads, and trailers.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/doorstep/doorstep/internal/connection/wellformed"
 )
 
 const (
@@ -140,9 +142,13 @@
 	defer func() { c.headLimited = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, err
+		}
+		if err := wellformed.Fields(response.Header); err != nil {
+			return nil, err
+		}
+		switch {
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		case response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols:
@@ -155,7 +161,7 @@
 type Answer struct {
 	Status   int
 	Header   http.Header
-	body     io.ReadCloser
+	response *http.Response
 	client   *Client
 	conn     *connection
 	framed   bool
@@ -210,7 +216,7 @@
 		}
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, body: response.Body, client: c, conn: conn, upload: upload,
+		Status: response.StatusCode, Header: response.Header, response: response, client: c, conn: conn, upload: upload,
 		framed: framed(response), reuse: !response.Close && framed(response),
 	}, nil
 }
@@ -233,6 +239,9 @@
 	if drained > maxMismatchedBody {
 		return nil, errMismatchedAnswer
 	}
+	if err := wellformed.Fields(mismatched.Trailer); err != nil {
+		return nil, err
+	}
 	return conn.readHead(request)
 }
 
@@ -266,7 +275,7 @@
 
 // Read implements io.Reader for the body. It returns io.EOF only if the body was received completely.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.response.Body.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
@@ -277,6 +286,9 @@
 			return n, err
 		}
 	}
+	if err := wellformed.Fields(a.response.Trailer); err != nil {
+		return n, err
+	}
 	a.complete = true
 	return n, io.EOF
 }
