Answers with a status over 599 are refused

Clients got 600 and 999 as answers. HTTP defines statuses from 100 to 599 only, and no client can tell what others mean. Statuses below 100 were refused already (TestUnexpectedStatuses).

Change: readHead refuses statuses over 599 as it does those below 100, so the attempt counts as broken: 502, or another attempt where that is allowed.

The store and the duties take unknown statuses for an unknown result as before.

--- a/internal/connection/upstream/prefix_test.go
+++ b/internal/connection/upstream/prefix_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	for _, status := range []string{"000", "000 OK", "001", "099", "-01", "+20", "20x", "2", "20", "0200", "2000", "101 Switching Protocols", ""} {
+	for _, status := range []string{"000", "000 OK", "001", "099", "-01", "+20", "20x", "2", "20", "0200", "2000", "600", "999", "101 Switching Protocols", ""} {
 		go answerOnce(listener, "HTTP/1.1 "+status+"\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n")
 		if got, _, err := read(t, listener.Addr().String()); err == nil {
 			t.Errorf("%s: taken for an answer with status %d", status, got)
--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -48,6 +48,8 @@
 	maxReadAhead = 4 << 10
 	// maxMismatchedBody is the largest body of a mismatched answer that is drained.
 	maxMismatchedBody = 64 << 10
+	// maxStatus is the largest status of HTTP.
+	maxStatus = 599
 	// tcpUserTimeout is the TCP_USER_TIMEOUT socket option on Linux.
 	tcpUserTimeout = 18
 )
@@ -70,7 +72,8 @@
 // errHeadTooLarge is returned if the head of an answer exceeds maxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the answer is too large")
 
-// errUnexpectedStatus is returned for a status below 100, and for a change of protocol, which no call requests.
+// errUnexpectedStatus is returned for a status outside 100 to 599, which HTTP does not define, and for a change of
+// protocol, which no call requests.
 var errUnexpectedStatus = errors.New("the answer has an unexpected status")
 
 // errDeadlinePassed is returned if a call was not sent because its deadline had passed.
@@ -148,11 +151,12 @@
 		if err := wellformed.Fields(response.Header); err != nil {
 			return nil, err
 		}
+		status := response.StatusCode
 		switch {
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
-		case response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols:
+		case status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
 			return nil, errUnexpectedStatus
+		case status >= http.StatusOK:
+			return response, nil
 		}
 	}
 }
