A broken failure does not end an item

Items were listed as terminated because of a part of an answer: a replica in trouble sent the head of a 422 and cut the body, or never ended it.

Cause: the body of a failure was discarded up to a limit and its error ignored, so the status in the head alone decided. Orders and reports read their responses up to the same limit and took the part for the whole.

Change: a failure whose body is cut or too large is an interrupted run, which goes on elsewhere; 422 and 500 count only as whole answers. Responses to orders and reports over the limit are errors (an order's outcome is unknown).

--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// controlTimeout bounds orders and reports; maxControlBytes bounds their responses.
+	// controlTimeout bounds orders and reports; maxControlBytes bounds their responses, and failures of items.
 	controlTimeout  = 900 * time.Millisecond
 	maxControlBytes = 1 << 20
 	// progressInterval is the longest time between progress reports to the node, which can
@@ -63,7 +63,11 @@
 	a.updateLoad(t.Replica, answer.Header)
 	result := task.RunResult{Outcome: runOutcome(answer.Status, a.protocol.NotExecuted(answer.Status, answer.Header)), Status: answer.Status}
 	if result.Outcome != task.RunCompleted {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxControlBytes))
+		if err := discardControl(answer); err != nil && result.Outcome != task.RunRefused {
+			// A part of a failure is no answer, and says nothing of the item.
+			result.Outcome = task.RunInterrupted
+			result.Crashed = a.crashedWithError(ctx, t.Address, err)
+		}
 		return result
 	}
 	if !isEventStream(answer) || a.protocol.Signature(answer.Header) == "" {
@@ -220,6 +224,24 @@
 		return 0, nil, err
 	}
 	defer answer.Close()
-	content, err := io.ReadAll(io.LimitReader(answer, maxControlBytes))
+	content, err := readControl(answer)
 	return answer.Status, content, err
 }
+
+// readControl reads a response of at most maxControlBytes. It fails with errResponseTooLarge rather than return a part.
+func readControl(response io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(response, maxControlBytes+1))
+	if err == nil && len(content) > maxControlBytes {
+		return nil, errResponseTooLarge
+	}
+	return content, err
+}
+
+// discardControl reads a response like readControl, without keeping it.
+func discardControl(response io.Reader) error {
+	size, err := io.Copy(io.Discard, io.LimitReader(response, maxControlBytes+1))
+	if err == nil && size > maxControlBytes {
+		return errResponseTooLarge
+	}
+	return err
+}
