Streams that break off do not look complete to clients of HTTP/1.0

A client of HTTP/1.0 got the part of a stream before its break as a complete 200. Such responses have no chunks, so that an orderly end of the connection completes them, and the aborted handler closed it in order.

Change: the connection of an aborted stream is reset if the client's protocol has no chunks.

Buffered responses have a length, and an abort before the head sends nothing.

--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -62,7 +63,7 @@
 			return
 		}
 		if !s.delivered && (s.clientGone || clientCtx.Err() != nil) {
-			abortResponse()
+			s.abort()
 		}
 	}
 }
@@ -76,9 +77,32 @@
 		return
 	}
 	s.agent.log.add(event.RequestRefused, "request", s.id, "reason", "stream interrupted: "+decision.Reason, "last_event", s.last)
+	s.abort()
+}
+
+// abort ends the response so that it does not look complete. Without chunks an orderly end of the connection would
+// complete it, so that the connection is reset.
+func (s *relayedStream) abort() {
+	if s.headerSent && !s.request.ProtoAtLeast(1, 1) {
+		if err := resetConnection(s.control); err != nil {
+			s.agent.log.add(event.RequestRefused, "request", s.id, "reason", "the connection can't be reset", "error", err.Error())
+		}
+	}
 	abortResponse()
 }
 
+// resetConnection resets the connection of a response.
+func resetConnection(control *http.ResponseController) error {
+	conn, _, err := control.Hijack()
+	if err != nil {
+		return err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return errors.Join(err, conn.Close())
+}
+
 func (s *relayedStream) attempt(ctx context.Context, now time.Time) {
 	chosen := s.choose()
 	if chosen == nil {
