Buffered responses follow the machine's memory and leave room for small ones

Clients of healthy replicas got 502 ("no attempt left") while other replicas sent answers without end: the buffers, 96 MB in all, were taken by these, and an answer of a few bytes failed with "too many large responses are buffered". On machines with little memory the buffers alone exceeded it: limits of 88 to 184 MB are in use, with half of that for the heap.

Change: all buffered responses take at most a quarter of the configured memory (96 MB at most, as before, if it is not limited). A quarter of that is reserved for responses of up to 64 KiB.

TestSmallBodiesBesideLargeOnes states both limits.

Heads, lines of events, trailers and informational answers were bounded before; TestAnswersWithoutEnd and TestHeadsWithoutEndAreRefused keep that.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -81,7 +81,7 @@
 	duties   *dutyCaller
 	upstream *upstream.Client
 	// responseBudget is the memory left for buffered responses.
-	responseBudget byteBudget
+	responseBudget *byteBudget
 	log            *eventLog
 	metrics        *metrics
 	base           context.Context
@@ -167,8 +167,9 @@
 	}
 	a := &Agent{
 		clock:    clock.New(options.Clock),
-		settings: options.Settings, protocol: options.Protocol, store: options.Store, upstream: upstream.New(), responseBudget: byteBudget{left: maxBufferedBytes}, base: base,
-		duties: newDutyCaller(options), runCancels: map[uint64]context.CancelFunc{}, jobWaiters: map[string]chan struct{}{},
+		settings: options.Settings, protocol: options.Protocol, store: options.Store, upstream: upstream.New(), base: base,
+		responseBudget: newByteBudget(options.Settings.Memory.LimitMb),
+		duties:         newDutyCaller(options), runCancels: map[uint64]context.CancelFunc{}, jobWaiters: map[string]chan struct{}{},
 	}
 	a.startedAt = a.clock.Now()
 	a.pulls, a.cancelPulls = context.WithCancel(base)
--- a/internal/process/agent/buffer.go
+++ b/internal/process/agent/buffer.go
@@ -14,6 +14,14 @@
 	// time.
 	maxResponseBytes = 64 << 20
 	maxBufferedBytes = 96 << 20
+	// bufferedFraction limits all buffered responses to a fraction of the machine's memory: half of the memory is for
+	// the heap, and a response that grows is copied.
+	bufferedFraction = 4
+	// smallResponseBytes is the largest size of a response that may use the part of the buffers that is reserved for
+	// small ones, one in smallReserveFraction bytes.
+	smallResponseBytes   = 64 << 10
+	smallReserveFraction = 4
+	megabyte             = 1 << 20
 	// minBufferBytes is the initial size of a buffer, which doubles whenever it is full.
 	minBufferBytes = 4 << 10
 )
@@ -23,19 +31,32 @@
 	errBuffersFull      = errors.New("too many large responses are buffered")
 )
 
-// byteBudget is the memory that is left for buffered responses.
+// byteBudget is the memory that is left for buffered responses. Without a reserve for small responses, a few large ones
+// could let those of all other requests fail.
 type byteBudget struct {
-	mu   sync.Mutex
-	left int
+	mu           sync.Mutex
+	left         int
+	smallReserve int
 }
 
-func (b *byteBudget) take(count int) bool {
+// newByteBudget returns the budget for a machine with the given memory in megabytes, 0 if it is not limited.
+func newByteBudget(memoryMb int) *byteBudget {
+	total := maxBufferedBytes
+	if memoryMb > 0 {
+		total = min(total, memoryMb*megabyte/bufferedFraction)
+	}
+	return &byteBudget{left: total, smallReserve: total / smallReserveFraction}
+}
+
+// take takes memory for a response that then has the given size in total.
+func (b *byteBudget) take(count, size int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if count > b.left {
+	left := b.left - count
+	if left < 0 || size > smallResponseBytes && left < b.smallReserve {
 		return false
 	}
-	b.left -= count
+	b.left = left
 	return true
 }
 
@@ -47,7 +68,7 @@
 
 // newResponseBuffers returns the buffers of one request, which must be ended.
 func (a *Agent) newResponseBuffers() *responseBuffers {
-	return &responseBuffers{budget: &a.responseBudget}
+	return &responseBuffers{budget: a.responseBudget}
 }
 
 // responseBuffers accounts for the responses that are buffered for one request until it ends.
@@ -58,11 +79,11 @@
 	ended  bool
 }
 
-// take reserves memory for a response. It fails once the request has ended.
-func (b *responseBuffers) take(count int) bool {
+// take reserves memory for a response that then has the given size in total. It fails once the request has ended.
+func (b *responseBuffers) take(count, size int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended || !b.budget.take(count) {
+	if b.ended || !b.budget.take(count, size) {
 		return false
 	}
 	b.taken += count
@@ -125,7 +146,7 @@
 	switch {
 	case len(content) > maxResponseBytes:
 		return nil, errResponseTooLarge
-	case !b.take(size - cap(content)):
+	case !b.take(size-cap(content), size):
 		return nil, errBuffersFull
 	}
 	grown := make([]byte, len(content), size)
--- a/internal/process/agent/buffer_test.go
+++ b/internal/process/agent/buffer_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// TestSmallBodiesBesideLargeOnes guards against large responses that leave no memory for the small ones of other requests,
+// and that together take more memory than the machine has.
+func TestSmallBodiesBesideLargeOnes(t *testing.T) {
+	for _, memoryMb := range []int{0, 88, 314, 4096} {
+		budget := newByteBudget(memoryMb)
+		total := budget.left
+		if memoryMb > 0 && total > memoryMb*megabyte/3 {
+			t.Errorf("%d MB of memory: %d bytes are buffered", memoryMb, total)
+		}
+		var held []*responseBuffers
+		for range 64 {
+			large := &responseBuffers{budget: budget}
+			if large.take(2<<20, 2<<20) {
+				held = append(held, large)
+			}
+		}
+		if len(held) == 0 || len(held) == 64 {
+			t.Fatalf("%d MB of memory: %d large responses are buffered", memoryMb, len(held))
+		}
+		small := &responseBuffers{budget: budget}
+		if _, err := small.readAll(io.LimitReader(zeros{}, smallResponseBytes-1)); err != nil {
+			t.Errorf("%d MB of memory: a small response beside large ones: %v", memoryMb, err)
+		}
+		small.end()
+		for _, large := range held {
+			large.end()
+		}
+		if budget.left != total {
+			t.Errorf("%d of %d bytes are left", budget.left, total)
+		}
+	}
+}
+
 // TestBrokenAndLateBodies guards against memory that is not returned.
 func TestBrokenAndLateBodies(t *testing.T) {
 	budget := &byteBudget{left: 1 << 20}
--- a/internal/process/agent/run_test.go
+++ b/internal/process/agent/run_test.go
@@ -24,7 +24,7 @@
 func TestEventsReportedWithinProgressInterval(t *testing.T) {
 	for _, every := range []time.Duration{20 * time.Millisecond, 80 * time.Millisecond, 300 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
-			reading := runReader{events: &steadyEventReader{every: every}, reportedAt: time.Now(), limits: textLimits{bytes: 1 << 20, buffers: (&Agent{responseBudget: byteBudget{left: 1 << 20}}).newResponseBuffers()}}
+			reading := runReader{events: &steadyEventReader{every: every}, reportedAt: time.Now(), limits: textLimits{bytes: 1 << 20, buffers: (&Agent{responseBudget: &byteBudget{left: 1 << 20}}).newResponseBuffers()}}
 			reported, longest := time.Now(), time.Duration(0)
 			for range 100 {
 				if _, err := reading.next(); err != nil {
--- a/internal/process/agent/textlimits.go
+++ b/internal/process/agent/textlimits.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	block := max(textBlockBytes, l.used-l.reserved)
-	if !l.buffers.take(block) {
+	if !l.buffers.take(block, l.reserved+block) {
 		return errBuffersFull
 	}
 	l.reserved += block
--- a/internal/process/agent/textlimits_test.go
+++ b/internal/process/agent/textlimits_test.go
@@ -21,7 +21,7 @@
 		"size of the events": {0, 50 * size, 1 << 20, 50, errTextTooLong},
 		"memory of the node": {0, 1 << 20, 2 * textBlockBytes, 2 * textBlockBytes / size, errBuffersFull},
 	} {
-		agent := &Agent{responseBudget: byteBudget{left: c.available}}
+		agent := &Agent{responseBudget: &byteBudget{left: c.available}}
 		buffers := agent.newResponseBuffers()
 		limits := textLimits{lastID: c.lastID, bytes: c.bytes, buffers: buffers}
 		event := port.ReplicaEvent{}
