A stopping node answers every request that it has taken

In a planned stop, in calm, requests that came late in the grace period were passed on to replicas and cut at its end without an answer, among them ones that may not be repeated.

Cause: while jobs are handed over (up to 6 s, if the store does not answer) connections are accepted, and nothing compared a request's time with what is left. The exit closed the connections of all requests in progress.

Change: the relay knows the schedule of the shutdown. An attempt, first or second, starts only if it ends before the node does: while clients and load balancers notice the stop the usual response time decides (streams are recorded for that now), later the caller's deadline alone. Others are refused with 503 and Retry-After, before a replica runs them, also if their body ends late or waits. 0.1 s before the exit all that is left is answered: requests in progress with 504 or 502, incomplete bodies with 503, job and trainer calls with 503 or, if the store may still apply them, 504; then the node drains. Streams whose head was sent are aborted.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/doorstep/doorstep/internal/process/event"
 	"github.com/doorstep/doorstep/internal/process/settings"
 	"github.com/doorstep/doorstep/internal/process/task"
+	"github.com/doorstep/doorstep/internal/request/relay"
 	"github.com/doorstep/doorstep/internal/version/experiment"
 )
 
@@ -89,6 +90,11 @@
 	connections activeConnections
 	pulls       context.Context
 	cancelPulls context.CancelFunc
+	// shutdown is the schedule of the graceful shutdown, nil before its start. answering ends when all requests must be
+	// answered.
+	shutdown     atomic.Pointer[relay.Shutdown]
+	answering    context.Context
+	endAnswering context.CancelFunc
 	// steps implements the trainer API, which trainerMux routes to.
 	steps      *experiment.Steps
 	trainerMux http.Handler
@@ -173,6 +179,7 @@
 	}
 	a.startedAt = a.clock.Now()
 	a.pulls, a.cancelPulls = context.WithCancel(base)
+	a.answering, a.endAnswering = context.WithCancel(base)
 	a.leaseContext, a.cancelLeaseContext = context.WithCancel(base)
 	a.log = newEventLog(options.Log, func() time.Duration { return time.Duration(a.storeClockOffset.Load()) + a.since(a.startedAt) })
 	a.metrics = newMetrics(a)
@@ -208,7 +215,7 @@
 	stopping := ctx.Done()
 	var drained <-chan struct{}
 	for {
-		canExit, mustExit := false, false
+		canExit, mustAnswer, mustExit := false, false, false
 		select {
 		case <-serving.Done():
 			return
@@ -217,6 +224,7 @@
 		case <-stopping:
 			stopping = nil
 			a.do(func(now time.Time) { a.node.Stop(now) })
+			a.startShutdown()
 		case <-options.Reload:
 			a.reload(options)
 		case <-prune.C:
@@ -224,13 +232,16 @@
 		case <-ticker.C:
 			a.do(func(now time.Time) {
 				a.node.Tick(now)
-				canExit, mustExit = a.node.CanExit(now), a.node.MustExit(now)
+				canExit, mustAnswer, mustExit = a.node.CanExit(now), a.node.MustAnswer(now), a.node.MustExit(now)
 			})
 		}
 		if mustExit {
 			return
 		}
-		if canExit && drained == nil {
+		if mustAnswer {
+			a.answerAll()
+		}
+		if (canExit || mustAnswer) && drained == nil {
 			drained = a.drain(serving, server)
 		}
 	}
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -127,7 +127,7 @@
 	x.tried = append(x.tried, fmt.Sprintf("%s(load %d)", chosen.ID, chosen.Load(now)))
 }
 
-// wait returns the next attempt to end, or nil if none does by until or before ctx ends.
+// wait returns the next attempt to end, or nil if none does by until, before ctx ends, or before the node must answer.
 func (x *exchange) wait(ctx context.Context, until time.Time) *attempt {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
@@ -141,6 +141,7 @@
 		return ended
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-x.agent.answering.Done():
 	}
 	return nil
 }
--- a/internal/process/agent/forward.go
+++ b/internal/process/agent/forward.go
@@ -24,7 +24,7 @@
 	var last *attempt
 	for {
 		now := time.Now()
-		decision := x.relay.Next(now)
+		decision := x.next(now)
 		switch decision.Action {
 		case relay.Launch:
 			x.launch(ctx, now)
@@ -49,6 +49,14 @@
 	}
 }
 
+// next returns the next step of the request.
+func (x *exchange) next(now time.Time) relay.Decision {
+	if shutdown := x.agent.shutdown.Load(); shutdown != nil {
+		x.relay.SetShutdown(*shutdown)
+	}
+	return x.relay.Next(now)
+}
+
 // abortResponse ends the handler of a request without a complete response. A handler that returns without having
 // written anything, or in the middle of a stream, would send one that looks complete. A client that has closed only the
 // sending direction of its connection still reads it.
--- a/internal/process/agent/job.go
+++ b/internal/process/agent/job.go
@@ -41,9 +41,9 @@
 		return
 	}
 	job.Route, job.Host, job.Path, job.Tenant = route.Name, r.Host, r.URL.Path, caller.Tenant
-	outcome := awaitOutcome(r.Context(), func(done chan<- batch.Outcome) {
+	outcome := awaitOutcome(a, batch.Indeterminate, func(done chan<- batch.Outcome) {
 		a.do(func(now time.Time) {
-			a.node.Jobs().Accept(now, job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
+			a.node.Jobs().Accept(now, job, nodeDeadline(now, a.limitToShutdown(deadline)), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 		})
 	})
 	a.metrics.accepted(outcome)
@@ -66,15 +66,21 @@
 
 func (e errorString) Error() string { return string(e) }
 
-// awaitOutcome makes a call to the node and waits for its outcome, even if the context ends.
-func awaitOutcome[T any](ctx context.Context, call func(done chan<- T)) T {
+// awaitOutcome makes a call to the node and waits for its outcome, even if the caller is gone. It returns pending if the
+// node must answer before there is an outcome.
+func awaitOutcome[T any](a *Agent, pending T, call func(done chan<- T)) T {
 	done := make(chan T, 1)
 	call(done)
 	select {
 	case outcome := <-done:
 		return outcome
-	case <-ctx.Done():
-		return <-done
+	case <-a.answering.Done():
+	}
+	select {
+	case outcome := <-done:
+		return outcome
+	default:
+		return pending
 	}
 }
 
@@ -115,11 +121,11 @@
 	case port.ReadJob:
 		a.readJob(w, r, call, deadline)
 	case port.ReadItem:
-		a.readItem(w, r, call, deadline)
+		a.readItem(w, call, deadline)
 	case port.EndJob:
-		outcome := awaitOutcome(r.Context(), func(done chan<- batch.Outcome) {
+		outcome := awaitOutcome(a, batch.Indeterminate, func(done chan<- batch.Outcome) {
 			a.do(func(now time.Time) {
-				a.node.Jobs().End(now, call.Job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
+				a.node.Jobs().End(now, call.Job, nodeDeadline(now, a.limitToShutdown(deadline)), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 			})
 		})
 		if outcome != batch.Applied {
@@ -143,7 +149,7 @@
 		a.refuseKey(w, call.Job, verdict, deadline)
 		return false
 	}
-	read := awaitOutcome(r.Context(), func(done chan<- jobSnapshot) {
+	read := awaitOutcome(a, jobSnapshot{outcome: batch.NotApplied}, func(done chan<- jobSnapshot) {
 		a.do(func(time.Time) {
 			a.withJobState(call.Job, func(state batch.State) { done <- jobSnapshot{state: state} },
 				func(outcome batch.Outcome) { done <- jobSnapshot{outcome: outcome} })
@@ -178,7 +184,7 @@
 	until := startedAt.Add(min(a.protocol.MaxWait(r.Header), maxResultWait))
 	for {
 		changed := a.watchJob(call.Job)
-		read := a.readResults(r.Context(), call)
+		read := a.readResults(call)
 		if read.outcome != batch.Applied {
 			a.refuseOutcome(w, call.Job, read.outcome, deadline)
 			return
@@ -219,13 +225,14 @@
 		return true
 	case <-timer.C:
 	case <-ctx.Done():
+	case <-a.answering.Done():
 	}
 	return false
 }
 
 // readResults reads results from the store, because this node's copy may be stale.
-func (a *Agent) readResults(ctx context.Context, call port.JobCall) jobSnapshot {
-	return awaitOutcome(ctx, func(done chan<- jobSnapshot) {
+func (a *Agent) readResults(call port.JobCall) jobSnapshot {
+	return awaitOutcome(a, jobSnapshot{outcome: batch.NotApplied}, func(done chan<- jobSnapshot) {
 		a.do(func(now time.Time) {
 			jobs := a.node.Jobs()
 			read := func(state batch.State) {
@@ -270,8 +277,8 @@
 }
 
 // readItem responds with an item's body.
-func (a *Agent) readItem(w http.ResponseWriter, r *http.Request, call port.JobCall, deadline time.Time) {
-	read := awaitOutcome(r.Context(), func(done chan<- itemContent) {
+func (a *Agent) readItem(w http.ResponseWriter, call port.JobCall, deadline time.Time) {
+	read := awaitOutcome(a, itemContent{outcome: batch.NotApplied}, func(done chan<- itemContent) {
 		a.do(func(now time.Time) {
 			found := func(state batch.State) {
 				if state.Ended {
--- a/internal/process/agent/quarantine.go
+++ b/internal/process/agent/quarantine.go
@@ -58,7 +58,7 @@
 
 // claimTrial reports whether this request was granted the trial of its fingerprint.
 func (x *exchange) claimTrial() bool {
-	return awaitOutcome(x.request.Context(), func(done chan<- bool) {
+	return awaitOutcome(x.agent, false, func(done chan<- bool) {
 		x.agent.do(func(now time.Time) {
 			x.agent.node.Quarantine().ClaimTrial(now, x.identity.Fingerprint, func(_ time.Time, granted bool) { done <- granted })
 		})
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -59,6 +60,10 @@
 	if stopping {
 		w.Header().Set("Connection", "close")
 	}
+	if a.answering.Err() != nil {
+		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(a.callerDeadline(arrivedAt, r.Header)), relay.ReasonShutdown)
+		return
+	}
 	if table == nil {
 		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(a.callerDeadline(arrivedAt, r.Header)), reasonNoConfiguration)
 		return
@@ -117,7 +122,8 @@
 }
 
 // readBody reads the full body before anything is forwarded, so that a truncated request is
-// never run. A body that is incomplete at the request's deadline is of no use to the caller any more.
+// never run. A body that is incomplete at the request's deadline is of no use to the caller any more, and one that is
+// incomplete when the node exits must be sent to another node.
 func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, id string, limit int64, deadline time.Time) ([]byte, bool) {
 	if limit > 0 {
 		if r.ContentLength > limit {
@@ -129,16 +135,21 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
+	stopInterrupt := context.AfterFunc(a.answering, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(r.Body)
+	stopInterrupt()
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, true
 	}
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		a.refuse(w, id, http.StatusRequestEntityTooLarge, 0, reasonBodyTooLarge)
-	} else {
+	case a.answering.Err() != nil:
+		a.refuse(w, id, http.StatusServiceUnavailable, retryAfterBy(deadline), relay.ReasonShutdown)
+	default:
 		a.refuse(w, id, http.StatusRequestTimeout, 0, reasonIncompleteBody)
 	}
 	return nil, false
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -47,9 +47,10 @@
 	defer a.followReplicas(clientCtx, x.route)()
 	ctx, cancel := context.WithDeadline(clientCtx, s.relay.Deadline())
 	defer cancel()
+	defer context.AfterFunc(a.answering, cancel)()
 	for {
 		now := time.Now()
-		decision := s.relay.Next(now)
+		decision := s.next(now)
 		switch decision.Action {
 		case relay.Launch:
 			s.attempt(ctx, now)
@@ -118,6 +119,9 @@
 	s.agent.do(func(now time.Time) {
 		chosen.InFlight--
 		s.recordAttempt(now, ended, now.Sub(s.started), ctx.Err() != nil)
+		if outcome == relay.Answered {
+			s.agent.node.ResponseTimes().Record(s.route.Name, now.Sub(s.started))
+		}
 		s.reportToQuarantine(now, ended)
 	})
 	if outcome != relay.Answered {
--- a/internal/process/agent/trainer.go
+++ b/internal/process/agent/trainer.go
@@ -127,6 +127,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
 	defer cancel()
+	defer context.AfterFunc(a.answering, cancel)()
 	reply := a.steps.Acknowledge(ctx, step)
 	if reply.Status != experiment.Done {
 		a.refuseStep(w, reply)
@@ -152,6 +153,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
 	defer cancel()
+	defer context.AfterFunc(a.answering, cancel)()
 	reply := a.steps.Publish(ctx, r.PathValue("experiment"), r.PathValue("trainer"), body.Version)
 	if reply.Status != experiment.Done {
 		a.refuseStep(w, reply)
@@ -186,7 +188,7 @@
 // Accept submits a job.
 func (j stepJobs) Accept(ctx context.Context, job *doorstepv1.BatchJob) bool {
 	deadline, _ := ctx.Deadline()
-	return awaitOutcome(ctx, func(done chan<- batch.Outcome) {
+	return awaitOutcome(j.agent, batch.Indeterminate, func(done chan<- batch.Outcome) {
 		j.agent.do(func(now time.Time) {
 			j.agent.node.Jobs().Accept(now, job, nodeDeadline(now, deadline), func(_ time.Time, outcome batch.Outcome) { done <- outcome })
 		})
@@ -199,7 +201,7 @@
 	var results []*doorstepv1.BatchResult
 	for ctx.Err() == nil {
 		changed := j.agent.watchJob(id)
-		read := j.agent.readResults(ctx, port.JobCall{Kind: port.ReadJob, Job: id, From: len(results)})
+		read := j.agent.readResults(port.JobCall{Kind: port.ReadJob, Job: id, From: len(results)})
 		if read.outcome != batch.Applied {
 			return nil
 		}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -26,6 +26,7 @@
 	ReasonDeadline  = "deadline"
 	ReasonNoAttempt = "no attempt left"
 	ReasonEvacuated = "the replicas are in evacuated zones"
+	ReasonShutdown  = "the node is shutting down"
 )
 
 // Outcome is the outcome of an attempt.
@@ -81,6 +82,9 @@
 	// when it next does. hedgeTime is the time left that makes a second attempt worthwhile.
 	hedgeDelay, hedgeTime time.Duration
 	hedgeAt               time.Time
+	// expected is how long the route's requests currently take.
+	expected ResponseTime
+	shutdown Shutdown
 	// launched counts the attempts that were or may still be sent, open those in progress.
 	launched int
 	open     int
@@ -118,6 +122,7 @@
 		deadline:    arrivedAt.Add(wait),
 		hedgeDelay:  hedgeDelay(wait, expected),
 		hedgeTime:   max(expected.Mean, minAttemptTime),
+		expected:    expected,
 	}
 }
 
@@ -130,11 +135,16 @@
 	return expected.Longest
 }
 
-// Deadline returns when the request must be answered.
+// Deadline returns when the caller stops waiting.
 func (r *Relay) Deadline() time.Time { return r.deadline }
 
-// Remaining returns the time until the deadline.
-func (r *Relay) Remaining(now time.Time) time.Duration { return r.deadline.Sub(now) }
+// Remaining returns the time in which the request must be answered.
+func (r *Relay) Remaining(now time.Time) time.Duration {
+	if r.endsAfterShutdown() {
+		return r.shutdown.AnswerBy.Sub(now)
+	}
+	return r.deadline.Sub(now)
+}
 
 // Pending reports whether an attempt is in progress.
 func (r *Relay) Pending() bool { return r.open > 0 }
@@ -198,7 +208,7 @@
 		return Decision{Action: Deliver}
 	}
 	if r.Remaining(now) <= 0 {
-		return r.fail(now, ReasonDeadline)
+		return r.fail(now, r.timeoutReason())
 	}
 	if r.mayLaunch(now) {
 		return Decision{Action: Launch}
@@ -212,13 +222,16 @@
 	if r.evacuated {
 		return r.fail(now, ReasonEvacuated)
 	}
+	if !r.fitsShutdown(now) {
+		return r.fail(now, ReasonShutdown)
+	}
 	return r.fail(now, ReasonNoAttempt)
 }
 
 // mayLaunch reports whether another attempt is allowed and due.
 func (r *Relay) mayLaunch(now time.Time) bool {
 	switch {
-	case r.exhausted || r.launched >= r.maxAttempts || r.Remaining(now) < minAttemptTime:
+	case r.exhausted || r.launched >= r.maxAttempts || r.Remaining(now) < minAttemptTime || !r.fitsShutdown(now):
 		return false
 	case r.launched == 0:
 		return true
@@ -240,7 +253,7 @@
 	if r.hedgeAt.After(now) && r.mayHedge(r.hedgeAt) {
 		return r.hedgeAt
 	}
-	return r.deadline
+	return now.Add(r.Remaining(now))
 }
 
 // LimitRetryAfter limits a Retry-After that is not tied to an event to half of the caller's remaining time, so that
@@ -252,7 +265,7 @@
 // fail returns a failure. Its status is 503 only if the request has not run and will not run.
 func (r *Relay) fail(now time.Time, reason string) Decision {
 	if !r.mayHaveRun && r.open == 0 {
-		after := LimitRetryAfter(retryAfter, r.Remaining(now))
+		after := LimitRetryAfter(retryAfter, r.deadline.Sub(now))
 		if reason == ReasonEvacuated {
 			after = evacuatedRetryAfter
 		}
