Answers that end before their request arrived are not complete

Cause: if the replica closes before the request has reached it, nothing is unread there, and the connection ends in order. The request is written without an error into the socket's buffer; the reset that answers it comes later, and neither the write nor the read sees it.

Change: the end of an answer without a length completes it only once the system says that the replica's system has acknowledged the whole request (SIOCOUTQ), without an error of the connection. A replica that has read the request has acknowledged it with or before the end of its answer, so that this does not wait then. Where the system does not tell, the result of the write alone decides, as before.

The transport to the platform's services does not look at this: net/http has closed the connection by then. It looks at the result of the write alone.

--- a/internal/connection/upstream/upload_test.go
+++ b/internal/connection/upstream/upload_test.go
@@ -64,10 +64,15 @@
 	}
 	defer listener.Close()
 	go server.serve(listener)
+	return sendUploadTo(listener.Addr().String(), size)
+}
+
+// sendUploadTo sends a body of the given size to an address and returns the answer's body.
+func sendUploadTo(address string, size int) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	answer, err := New().Do(ctx, &Call{
-		Address: listener.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "r",
+		Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "r",
 		IDOf: func(header http.Header) string { return header.Get("X-Id") }, Body: []byte(strings.Repeat("u", size)),
 	})
 	if err != nil {
@@ -121,3 +126,32 @@
 		}
 	}
 }
+
+// TestAnswersBeforeTheRequestAreNotComplete guards against an answer without a length whose replica closed the connection
+// before the request reached it. The connection ends in order then, and the write of the request succeeds, as the socket's
+// buffer takes it.
+func TestAnswersBeforeTheRequestAreNotComplete(t *testing.T) {
+	const plays = 50
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, unframedAnswer)
+			_ = conn.Close()
+		}
+	}()
+	for _, size := range uploadSizes {
+		for range plays {
+			if body, err := sendUploadTo(listener.Addr().String(), size); err == nil {
+				t.Errorf("upload of %d bytes: %q is taken for a whole answer", size, body)
+			}
+		}
+	}
+}
--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/doorstep/doorstep/internal/connection/socket"
 	"github.com/doorstep/doorstep/internal/connection/wellformed"
 )
 
@@ -284,9 +285,7 @@
 		return n, err
 	}
 	if !a.framed {
-		// Such an answer ends with its connection. A reset is reported once: if the write of the request received it,
-		// the read sees an ordinary end.
-		if err := a.upload.wait(); err != nil {
+		if err := a.checkRequestDelivered(); err != nil {
 			return n, err
 		}
 	}
@@ -297,6 +296,16 @@
 	return n, io.EOF
 }
 
+// checkRequestDelivered returns an error if the replica did not receive the whole request. An answer without a length ends
+// with its connection, and the end alone does not tell that the replica broke it off: a reset is reported once, maybe to
+// the write of the request, and it comes after the end if the replica closed the connection before the request arrived.
+func (a *Answer) checkRequestDelivered() error {
+	if err := a.upload.wait(); err != nil {
+		return err
+	}
+	return socket.AwaitDelivery(a.conn.Conn)
+}
+
 // Close ends the exchange. The connection is kept for reuse if the answer was received completely.
 func (a *Answer) Close() {
 	a.stop()
