Shutdown: prefer answers that are ready, and reset read deadlines safely

When a node must answer all requests, an attempt that has just ended could be passed over for a 504, and the read deadline that interrupts a body could be set just after the body was read, which would cancel the request.

Change: wait looks once more for an ended attempt, and readBody waits for the interruption before it clears the deadline. No test of its own; those of the planned stop pass.

--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -133,17 +133,27 @@
 	defer timer.Stop()
 	select {
 	case ended := <-x.attempts:
-		x.relay.RecordOutcome(ended.outcome)
-		if ended.outcome != relay.Answered && ended.outcome != relay.Errored {
-			x.agent.log.add(event.AttemptEnded, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status, "outcome", int(ended.outcome),
-				"error", errorText(ended.err), "fingerprint", x.identity.Fingerprint.String(), "crashed", ended.crashed)
-		}
-		return ended
+		return x.recordEnded(ended)
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-x.agent.answering.Done():
 	}
-	return nil
+	select {
+	case ended := <-x.attempts:
+		return x.recordEnded(ended)
+	default:
+		return nil
+	}
+}
+
+// recordEnded records the outcome of an attempt and returns the attempt.
+func (x *exchange) recordEnded(ended *attempt) *attempt {
+	x.relay.RecordOutcome(ended.outcome)
+	if ended.outcome != relay.Answered && ended.outcome != relay.Errored {
+		x.agent.log.add(event.AttemptEnded, "request", x.id, "replica", ended.endpoint.ID, "status", ended.status, "outcome", int(ended.outcome),
+			"error", errorText(ended.err), "fingerprint", x.identity.Fingerprint.String(), "crashed", ended.crashed)
+	}
+	return ended
 }
 
 func errorText(err error) string {
--- a/internal/process/agent/serve.go
+++ b/internal/process/agent/serve.go
@@ -135,9 +135,16 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
-	stopInterrupt := context.AfterFunc(a.answering, func() { _ = control.SetReadDeadline(time.Now()) })
+	interrupted := make(chan struct{})
+	stopInterrupt := context.AfterFunc(a.answering, func() {
+		defer close(interrupted)
+		_ = control.SetReadDeadline(time.Now())
+	})
 	body, err := io.ReadAll(r.Body)
-	stopInterrupt()
+	if !stopInterrupt() {
+		// A read deadline that is set after the body was read would cancel the request.
+		<-interrupted
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, true
