--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -23,8 +23,8 @@
 var cases = map[string]func(r *run) int{
 	"deadly-late":      deadlyLate,
 	"deadly-answered":  deadlyAnswered,
-	"large-bodies":     largeBodies,
 	"crashed-unframed": crashedUnframed,
+	"smuggled-request": smuggledRequest,
 	"spliced-text":     splicedText,
 }
 
--- a/review/_standins-2/splice.go
+++ b/review/_standins-2/splice.go
@@ -38,8 +38,8 @@
 type textReplicas struct {
 	run  *run
 	last atomic.Int64
-	// pace is the time between two events.
-	pace time.Duration
+	// check, if set, is called with each request that a replica begins.
+	check func(request *http.Request)
 
 	mu   sync.Mutex
 	runs map[int]textRun
@@ -56,6 +56,9 @@
 		_, _ = fmt.Fprintf(w, `{"stage":"bidirectional","models":[{"name":%q,"version":1,"adapters":[]}],"utilization":false,"sequence":0,"queued_requests":0,"running_requests":0,"kv_cache_used":0,"kv_cache_total":52385,"handles":0}`, modelName)
 		return
 	}
+	if m.check != nil {
+		m.check(request)
+	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	number := int(m.last.Add(1))
@@ -74,7 +77,7 @@
 		case <-request.Context().Done():
 			m.run.note("run %d is dropped before event %d", number, event)
 			return
-		case <-time.After(m.pace):
+		case <-time.After(eventPace):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: run %d event %d\n\n", event, number, event); err != nil || flush.Flush() != nil {
 			return
@@ -84,8 +87,8 @@
 }
 
 // startTextReplicas starts the replicas, which keep their entries in the store.
-func startTextReplicas(r *run) (*textReplicas, error) {
-	m := &textReplicas{run: r, pace: eventPace, runs: map[int]textRun{}}
+func startTextReplicas(r *run, check func(request *http.Request)) (*textReplicas, error) {
+	m := &textReplicas{run: r, check: check, runs: map[int]textRun{}}
 	for i, zone := range zones {
 		address, err := freeAddress()
 		if err != nil {
@@ -208,7 +211,7 @@
 		Name: "fraud-narrative", Hostname: host, PathPrefix: "/pufi791/", Kind: "rollout", TimeoutMs: 10000, TargetMs: 400, Priority: 1, Attempts: 3,
 		Service: modelService, MaxQueueS: 60, ResultMs: 60000,
 	}}, []service{{Name: modelService, ConnectionLimit: 170, Engine: map[string]any{"models": []map[string]any{{"name": modelName, "version": 1}}, "stride": 58, "kv_cache_tokens": 52385}}})
-	replicas, err := startTextReplicas(r)
+	replicas, err := startTextReplicas(r, nil)
 	if err != nil {
 		r.note("replicas: %v", err)
 		return exitNotRun
