--- a/review/_standins-2/splice.go
+++ b/review/_standins-2/splice.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,17 +23,37 @@
 	modelName    = "daka510000"
 	jobID        = "7c41e09b52d6a3f8"
 	itemID       = "e5b2907c14da6f38"
-	// textEvents is the length of the item's text, eventPace the time between two events.
+	// splicedItems is the number of items of the batch job.
+	splicedItems = 6
+	// textEvents is the length of an item's text, eventPace the time between two events, which differs between items by
+	// paceStep.
 	textEvents = 90
 	eventPace  = 80 * time.Millisecond
+	paceStep   = 5 * time.Millisecond
 	// keptParts is how many parts of the text the store holds before the trouble begins.
 	keptParts = 4
 	// restartTime is how long a killed process is away.
 	restartTime = 3500 * time.Millisecond
 )
 
-// textRun is one run of the item at a replica.
-type textRun struct{ number, after int }
+// splicedItem returns the id of an item of the batch job.
+func splicedItem(number int) string { return fmt.Sprintf("e5b2907c14da6f%02x", number) }
+
+// paceOf returns the time between two events of an item: replicas vary in speed.
+func paceOf(item string) time.Duration {
+	for number := range splicedItems {
+		if item == splicedItem(number) {
+			return eventPace + time.Duration(number-splicedItems/2)*paceStep
+		}
+	}
+	return eventPace
+}
+
+// textRun is one run of an item at a replica.
+type textRun struct {
+	item  string
+	after int
+}
 
 // textReplicas are the replicas of a model. They note which run makes which event, as a sampling model makes
 // another text each time.
@@ -63,7 +85,7 @@
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	number := int(m.last.Add(1))
 	m.mu.Lock()
-	m.runs[number] = textRun{number, after}
+	m.runs[number] = textRun{attempt, after}
 	m.mu.Unlock()
 	m.run.note("replica %s begins run %d of item %s after event %d", id, number, attempt, after)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -77,7 +99,7 @@
 		case <-request.Context().Done():
 			m.run.note("run %d is dropped before event %d", number, event)
 			return
-		case <-time.After(eventPace):
+		case <-time.After(paceOf(attempt)):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: run %d event %d\n\n", event, number, event); err != nil || flush.Flush() != nil {
 			return
@@ -117,7 +139,7 @@
 	} `json:"put"`
 }
 
-var partKey = regexp.MustCompile(`^` + jobID + `/t/0000/[0-9a-f]+-[0-9]+/([0-9]+)$`)
+var partKey = regexp.MustCompile(`^` + jobID + `/t/([0-9]+)/[0-9a-f]+-[0-9]+/([0-9]+)$`)
 
 // storeGate is one node's way to the platform's store. It can turn the node away, as the platform may.
 type storeGate struct {
@@ -185,8 +207,8 @@
 			onHead()
 		}
 		if found := partKey.FindStringSubmatch(put.Key); found != nil {
-			number, _ := strconv.Atoi(found[1])
-			g.run.note("%s keeps part %d of the text", g.name, number)
+			number, _ := strconv.Atoi(found[2])
+			g.run.note("%s keeps part %d of the text of item %s", g.name, number, found[1])
 			if onPart != nil {
 				onPart(number)
 			}
@@ -245,11 +267,17 @@
 	} else {
 		last = first
 	}
-	text, ok := awaitText(r, last)
-	if !ok {
+	texts := awaitTexts(r, last)
+	if len(texts) != splicedItems {
 		return exitNotRun
 	}
-	return replicas.verdict(text)
+	code := exitHeld
+	for _, item := range slices.Sorted(maps.Keys(texts)) {
+		if replicas.verdict(item, texts[item]) == exitBroken {
+			code = exitBroken
+		}
+	}
+	return code
 }
 
 // spliceTroubles plays the disruptions.
@@ -334,15 +362,17 @@
 	}
 }
 
-// handIn hands a batch job of one item in.
+// handIn hands a batch job in.
 func handIn(r *run, n *node) bool {
-	body, err := json.Marshal(map[string]any{
-		"training_step": 0, "model": modelName, "min_version": 1, "desired_count": 1,
-		"requests": []map[string]any{{
-			"id": itemID, "path": "/pufi791/3/91c4", "body": base64.StdEncoding.EncodeToString([]byte("prompt")), "token_count": 4000, "group_size": "g1",
-			"headers": map[string]string{"X-Model-Name": modelName, "X-Token-Usage": "271,3480", "X-Prompt-Prefix": "9c2e41:255,5d07b8:16"},
-		}},
-	})
+	var items []map[string]any
+	for number := range splicedItems {
+		items = append(items, map[string]any{
+			"id": splicedItem(number), "path": "/pufi791/3/91c4", "body": base64.StdEncoding.EncodeToString([]byte("prompt")), "token_count": 4000,
+			"group_size": fmt.Sprintf("g%d", number),
+			"headers":    map[string]string{"X-Model-Name": modelName, "X-Token-Usage": "271,3480", "X-Prompt-Prefix": "9c2e41:255,5d07b8:16"},
+		})
+	}
+	body, err := json.Marshal(map[string]any{"training_step": 0, "model": modelName, "min_version": 1, "desired_count": 1, "requests": items})
 	if err != nil {
 		panic(err)
 	}
@@ -351,37 +381,45 @@
 	return answer.status == http.StatusAccepted
 }
 
-// awaitText reads the item's result.
-func awaitText(r *run, n *node) (string, bool) {
-	for until := time.Now().Add(60 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
-		answer := sendAs(n, "", http.MethodGet, "/doorstep/lots/"+jobID+"?watch_after_revision=0", nil, 3*time.Second, map[string]string{"X-Wait-Ms": "1000"})
-		var read struct {
+// awaitTexts reads the texts of all completed items.
+func awaitTexts(r *run, n *node) map[string]string {
+	texts, read := map[string]string{}, 0
+	for until := time.Now().Add(60 * time.Second); time.Now().Before(until) && read < splicedItems; time.Sleep(300 * time.Millisecond) {
+		answer := sendAs(n, "", http.MethodGet, fmt.Sprintf("/doorstep/lots/%s?watch_after_revision=%d", jobID, read), nil, 3*time.Second, map[string]string{"X-Wait-Ms": "1000"})
+		var page struct {
 			Results []struct{ ID, State, Message string } `json:"results"`
 		}
-		if answer.status != http.StatusOK || json.Unmarshal(answer.body, &read) != nil || len(read.Results) == 0 {
+		if answer.status != http.StatusOK || json.Unmarshal(answer.body, &page) != nil {
 			continue
 		}
-		r.note("the result read at %s: %s", n.name, answer.body)
-		return read.Results[0].Message, read.Results[0].State == "completed"
+		for _, one := range page.Results {
+			r.note("position %d at %s: item %s %s", read, n.name, one.ID, one.State)
+			read++
+			if one.State == "completed" {
+				texts[one.ID] = one.Message
+			}
+		}
+	}
+	if len(texts) < splicedItems {
+		r.note("only %d texts; the log of %s:\n%s", len(texts), n.name, n.log())
 	}
-	r.note("no result; the log of %s:\n%s", n.name, n.log())
-	return "", false
+	return texts
 }
 
 // verdict applies rule ORDER: after event n, the text may continue with another run only if that run was asked with
 // Last-Event-Id n.
-func (m *textReplicas) verdict(text string) int {
+func (m *textReplicas) verdict(item, text string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before, code := 0, exitHeld
 	for i, line := range strings.Split(text, "\n") {
 		var number, event int
-		if _, err := fmt.Sscanf(line, "run %d event %d", &number, &event); err != nil || event != i+1 {
-			m.run.note("event %d is missing: %q", i+1, line)
+		if _, err := fmt.Sscanf(line, "run %d event %d", &number, &event); err != nil || event != i+1 || m.runs[number].item != item {
+			m.run.note("item %s: line %d is %q", item, i+1, line)
 			return exitBroken
 		}
 		if number != before {
-			m.run.note("from event %d on, the text is of run %d, which was asked for the events after %d", event, number, m.runs[number].after)
+			m.run.note("item %s: from event %d on, the text is of run %d, which was asked for the events after %d", item, event, number, m.runs[number].after)
 			if m.runs[number].after != event-1 {
 				m.run.note("rule ORDER is broken here")
 				code = exitBroken
