--- a/review/_standins-2/splice.go
+++ b/review/_standins-2/splice.go
@@ -23,8 +23,10 @@
 	modelName    = "daka510000"
 	jobID        = "7c41e09b52d6a3f8"
 	itemID       = "e5b2907c14da6f38"
-	// splicedItems is the number of items of the batch job.
+	// splicedItems is the number of items of the batch job, splicedNodes that of the nodes. One of three nodes is turned
+	// away, within the share of 0.35 of the pages.
 	splicedItems = 6
+	splicedNodes = 3
 	// textEvents is the length of an item's text, eventPace the time between two events, which differs between items by
 	// paceStep.
 	textEvents = 90
@@ -240,7 +242,7 @@
 	}
 	var gates []*storeGate
 	var nodes []*node
-	for i := range 2 {
+	for i := range splicedNodes {
 		gate := &storeGate{run: r, name: fmt.Sprintf("frontend-%s-%d", zones[i], i)}
 		n, err := r.newNode(i, gate.before)
 		if err != nil {
@@ -253,21 +255,16 @@
 		return exitNotRun
 	}
 	time.Sleep(contactTimeout)
-	first, second := nodes[0], nodes[1]
+	first := nodes[0]
 	kept := make(chan int, 64)
 	gates[0].set(func() { gates[0].onPart = func(number int) { kept <- number } })
 	if !handIn(r, first) {
 		return exitNotRun
 	}
-	last := second
-	if r.trouble {
-		if !r.spliceTroubles(first, second, gates[0], gates[1], kept) {
-			return exitNotRun
-		}
-	} else {
-		last = first
+	if r.trouble && !r.spliceTroubles(nodes, gates, kept) {
+		return exitNotRun
 	}
-	texts := awaitTexts(r, last)
+	texts := awaitTexts(r, nodes[1])
 	if len(texts) != splicedItems {
 		return exitNotRun
 	}
@@ -281,30 +278,34 @@
 }
 
 // spliceTroubles plays the disruptions.
-func (r *run) spliceTroubles(first, second *node, firstGate, secondGate *storeGate, kept chan int) bool {
+func (r *run) spliceTroubles(nodes []*node, gates []*storeGate, kept chan int) bool {
+	first, firstGate := nodes[0], gates[0]
 	if !awaitPart(kept, keptParts-1) {
 		return r.fail("the text is not kept")
 	}
-	// 1. The platform's store turns the owner away. The other node takes the job over, and is killed as the process that
-	// last wrote to the store under a condition.
-	taken := make(chan struct{})
-	var once sync.Once
-	secondGate.set(func() {
-		secondGate.onHead = func() {
-			once.Do(func() {
-				second.signal(syscall.SIGKILL)
-				close(taken)
-			})
-		}
-	})
+	// 1. The platform's store turns the owner away. Another node takes the job over, and is killed as the process that last
+	// wrote to the store under a condition; so is the third.
+	taken := make(chan struct{}, len(nodes))
+	for i, other := range nodes[1:] {
+		gate := gates[i+1]
+		var once sync.Once
+		gate.set(func() {
+			gate.onHead = func() {
+				once.Do(func() {
+					other.signal(syscall.SIGKILL)
+					r.note("%s has taken the job over, and is killed", other.name)
+					time.AfterFunc(restartTime, func() { _ = other.start() })
+					taken <- struct{}{}
+				})
+			}
+		})
+	}
 	firstGate.turnAway(true)
-	if !await(taken, 10*time.Second) {
-		return r.fail("the job is not taken over")
+	for range nodes[1:] {
+		if !await(taken, 10*time.Second) {
+			return r.fail("the job is not taken over")
+		}
 	}
-	r.note("%s has taken the job over, and is killed", second.name)
-	secondGate.set(func() { secondGate.onHead = nil })
-	time.AfterFunc(restartTime, func() { _ = second.start() })
-	time.Sleep(500 * time.Millisecond)
 	// 2. The first node is served again, and takes the job back. As it is about to read the texts, the store turns it away
 	// once more, for a moment.
 	asked := make(chan struct{})
