--- a/review/_standins-2/deadly.go
+++ b/review/_standins-2/deadly.go
@@ -17,6 +17,8 @@
 	stopTime = 10 * time.Millisecond
 	// replicaReturn is how long a crashed replica is away.
 	replicaReturn = 3 * time.Second
+	// releasedReplicas are replaced by two releases of half of them each, one replica a second.
+	releasedReplicas = 4
 	// allowedRetries is the number of retries that may reach replicas later than the contact timeout after the third
 	// crash.
 	allowedRetries = 3
@@ -176,8 +178,8 @@
 		}
 	}
 	var old []*replica
-	for _, zone := range zones {
-		one, err := newReplica(r, statusService, zone, 6, serveAs(1))
+	for i := range releasedReplicas {
+		one, err := newReplica(r, statusService, zones[i%len(zones)], 6, serveAs(1))
 		if err != nil {
 			r.note("replica: %v", err)
 			return exitNotRun
@@ -198,8 +200,12 @@
 		ask(i)
 		time.Sleep(300 * time.Millisecond)
 	}
-	for i, zone := range zones {
-		if _, err := newReplica(r, statusService, zone, 6, serveAs(2)); err != nil {
+	for i := range releasedReplicas {
+		if i%(releasedReplicas/2) == 0 {
+			r.note("a release of half of the replicas begins")
+			time.Sleep(time.Second)
+		}
+		if _, err := newReplica(r, statusService, zones[i%len(zones)], 6, serveAs(2)); err != nil {
 			r.note("replica: %v", err)
 			return exitNotRun
 		}
