Texts of two ownerships of a job are never combined

A batch item was listed as completed with a text that begins with events of one run and goes on with events of an older run of the same item.

Cause: checkpoint keys named the item, the node's incarnation, a generation and the part. A node that loses a job and gets it back in the same life, and whose read of the stored texts fails once, begins again with generation 0 and part 0: the new part 0 replaces the old one, the parts behind it stay, and the next owner accepts them, as the events are numbered without a gap. A write of the first ownership that takes effect late does the same, so that reading again until the texts are known would not be enough.

Two faults of the reader, by the same look: a new generation revoked only texts under the owner's own name, so that a text that it had taken over from another owner came back; and a read that broke off could miss a revocation.

Change: keys name the ownership, by the head record's beat when it began, which each change of owner increases, and a sequence of the node.

--- a/internal/version/batch/batch.go
+++ b/internal/version/batch/batch.go
@@ -142,6 +142,8 @@
 	heads     map[string]*head
 	owned     map[string]*ownedJob
 	lastRunID uint64
+	// ownerships counts the ownerships of jobs by this node.
+	ownerships uint64
 	// observedSince is when the current uninterrupted watch of head records started.
 	observedSince time.Time
 	observing     bool
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -29,11 +29,13 @@
 
 // ownedJob is a job whose items are run by this node.
 type ownedJob struct {
-	jobs  *Jobs
-	id    string
-	job   *doorstepv1.BatchJob
-	head  *head
-	items []item
+	jobs *Jobs
+	id   string
+	// ownership names the checkpoints that this owner writes.
+	ownership ownership
+	job       *doorstepv1.BatchJob
+	head      *head
+	items     []item
 	// startOrder is the order in which items are started, longest first.
 	startOrder []int
 	// failures counts failed runs by item, including those under former owners.
@@ -184,8 +186,9 @@
 		// started.
 		return
 	}
+	j.ownerships++
 	owned := &ownedJob{
-		jobs: j, id: job.Id, job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
+		jobs: j, id: job.Id, ownership: newOwnership(j.heads[job.Id].Beat, j.ownerships), job: job, head: j.heads[job.Id], items: make([]item, len(job.Items)),
 		promptEndpoints: map[string]string{}, failures: map[int32]int32{}, scoringFailures: map[int32]int32{}, scoringLosses: map[int32]int32{}, startedAt: now, writtenAt: now, headSentAt: headSentAt, backoff: initialBackoff,
 	}
 	j.owned[job.Id] = owned
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -1,10 +1,6 @@
 package batch
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -24,21 +20,16 @@
 	minCheckpointEvents = 4
 	// maxCheckpointRecords limits the records of one transaction.
 	maxCheckpointRecords = 90
-	// checkpointReadTimeout is how long a new owner waits for checkpoints before it starts
-	// items, extended by twice the store latency. Texts not read by then are generated again.
-	checkpointReadTimeout = 300 * time.Millisecond
 	// incompleteText is the number of events of a text that is not complete. It also makes a part without events
 	// non-empty.
 	incompleteText = -1
 )
 
-// checkpointKey returns the key of the next part of an item's text. The prefix is unique to the
-// owner's incarnation and to the generation of the text, so that parts of different texts are
-// never combined, even if writes take effect late.
+// checkpointKey returns the key of the next part of an item's text. The prefix is unique to the ownership and to the
+// generation of the text, so that parts of different texts are never combined, even if writes take effect late.
 func (o *ownedJob) checkpointKey(index int) port.RecordKey {
 	it := &o.items[index]
-	return port.RecordKey{Table: DataTable, Partition: Partition(o.id), Key: fmt.Sprintf("%s/t/%04d/%016x-%02d/%03d",
-		o.id, index, o.jobs.options.Incarnation, it.generation, it.checkpointParts)}
+	return checkpointPrefix{index: index, ownership: o.ownership, generation: it.generation}.key(o.id, it.checkpointParts)
 }
 
 // checkpoint is a part of a text that is being written to the store.
@@ -192,114 +183,3 @@
 	i.events = append(i.events, events...)
 	return true
 }
-
-// readCheckpoints reads the checkpoints written by former owners.
-func (o *ownedJob) readCheckpoints(now time.Time) {
-	o.startAfter = now.Add(checkpointReadTimeout + 2*o.jobs.storeLatency())
-	o.readCheckpointsFrom(o.id+"/t/", nil)
-}
-
-func (o *ownedJob) readCheckpointsFrom(from string, records []port.Record) {
-	o.jobs.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: DataTable, Partition: Partition(o.id), From: from, To: o.id + "/t/~"},
-		Done: func(now time.Time, result port.RecordResult) {
-			if o.jobs.owned[o.id] != o {
-				return
-			}
-			records = append(records, result.Records...)
-			if result.Status == port.RecordDone && result.More && now.Before(o.startAfter) && o.jobs.mayOwn(o.head.BatchJobHead) {
-				o.readCheckpointsFrom(records[len(records)-1].Key+"\x00", records)
-				return
-			}
-			o.startAfter = now
-			o.restoreTexts(now, records)
-			o.advance(now)
-		},
-	})
-}
-
-// storedText is one generation of an item's text, as stored by one of the job's owners.
-type storedText struct {
-	index       int
-	incarnation uint64
-	generation  int
-	content     []byte
-}
-
-// restoreTexts restores each item's text from the longest valid checkpoint. Only the latest generation of
-// each owner counts, as an owner may discard a text because it is not known to be sound.
-func (o *ownedJob) restoreTexts(now time.Time, records []port.Record) {
-	texts := o.storedTexts(records)
-	for i, stored := range texts {
-		if i+1 < len(texts) && texts[i+1].index == stored.index && texts[i+1].incarnation == stored.incarnation {
-			continue
-		}
-		text := &doorstepv1.KeptText{}
-		if proto.Unmarshal(stored.content, text) == nil {
-			o.restoreText(now, stored.index, text)
-		}
-	}
-}
-
-// storedTexts returns the texts in checkpoint records, ordered by item, owner and generation.
-func (o *ownedJob) storedTexts(records []port.Record) []storedText {
-	var texts []storedText
-	for from := 0; from < len(records); {
-		prefix := records[from].Key[:strings.LastIndexByte(records[from].Key, '/')+1]
-		to := from
-		stored := storedText{}
-		for to < len(records) && strings.HasPrefix(records[to].Key, prefix) {
-			// Concatenated protobuf encodings decode as the merged message.
-			stored.content = append(stored.content, records[to].Value...)
-			to++
-		}
-		from = to
-		_, err := fmt.Sscanf(prefix[len(o.id)+len("/t/"):], "%d/%x-%d/", &stored.index, &stored.incarnation, &stored.generation)
-		if err != nil || stored.index < 0 || stored.index >= len(o.items) {
-			continue
-		}
-		texts = append(texts, stored)
-	}
-	slices.SortFunc(texts, func(a, b storedText) int {
-		return cmp.Or(cmp.Compare(a.index, b.index), cmp.Compare(a.incarnation, b.incarnation), cmp.Compare(a.generation, b.generation))
-	})
-	return texts
-}
-
-// restoreText restores a text if its events are contiguous from the first one.
-func (o *ownedJob) restoreText(now time.Time, index int, text *doorstepv1.KeptText) {
-	it := &o.items[index]
-	complete := int64(len(text.Events)) == text.WholeEvents
-	if it.state != itemWaiting || len(text.Events) == 0 || len(text.Events) < len(it.events) || len(text.Events) == len(it.events) && !complete {
-		return
-	}
-	var events []port.ReplicaEvent
-	for i, generated := range text.Events {
-		if generated.Id != int64(i+1) {
-			return
-		}
-		events = append(events, port.ReplicaEvent{ID: generated.Id, Data: generated.Data, Version: generated.Version})
-	}
-	it.events = events
-	o.discardInvalidText(index)
-	it.long = it.long || len(it.events) >= minEventsToMove
-	if complete && len(it.events) > 0 {
-		o.restoreCompleteText(now, index, text.Score)
-	}
-	o.jobs.options.Queue.Log(event.TextAdopted, "job", o.id, "item", o.job.Items[index].Id, "events", len(it.events), "whole", it.textComplete(),
-		"scored", it.score != "")
-}
-
-// restoreCompleteText resumes an item whose text was completed by a former owner: it is scored
-// if necessary, and listed. Its checkpoint remains valid.
-func (o *ownedJob) restoreCompleteText(now time.Time, index int, score string) {
-	it := &o.items[index]
-	it.textCheckpointed = true
-	it.textCompletedAt = now
-	if o.job.Items[index].Scoring != nil && score == "" {
-		o.queueScoring(now, index)
-		return
-	}
-	it.scoreCheckpointed = score != ""
-	o.finishItem(now, index, score)
-}
