A text that is restored late is not stored behind parts of another run

Found on the way, by the same look as for the ownerships: texts that can't be read within some 0.3 s are generated again, and a read that is answered later may still replace an item's text by a longer one. The item's count of stored events and parts stayed, so that the next part of the restored text was stored behind the first parts of the run that it replaced, under one name. The next owner listed the mixture.

Change: a text that replaces one which the item has begun to generate gets a new generation, hence a name of its own.

Before: TestTextsRestoredLateDoNotMix failed (event 9 is of run 1 of the former owner, which was asked for events after 0).

--- a/internal/version/batch/ownership_test.go
+++ b/internal/version/batch/ownership_test.go
@@ -259,3 +259,31 @@
 		}
 	}
 }
+
+// TestTextsRestoredLateDoNotMix guards against a text that is stored behind parts of another run: an item ran again and
+// stored a part of its text before the read of the former texts was answered.
+func TestTextsRestoredLateDoNotMix(t *testing.T) {
+	nodes, sampled := newNodes("a", "b", "c"), newSampledRuns()
+	nodes[0].accept(newJob("j", 1))
+	nodes[0].elapse(200 * time.Millisecond)
+	sampled.generate(nodes[0], "a", nodes[0].takeRuns()[0], 3, 8)
+	var answer func()
+	nodes[1].holdRange = func(read task.Range) bool {
+		if !isTextRead(read.Query) {
+			return false
+		}
+		answer = func() { read.Done(nodes[1].now, nodes[1].store.Range(nodes[1].now, read.Query)) }
+		return true
+	}
+	run := takeOver(t, nodes[1], nodes[0])
+	sampled.generate(nodes[1], "b", run, 1, 8)
+	run.Done(nodes[1].now, task.RunResult{Outcome: task.RunInterrupted, Events: sampled.events("b", run, 8)})
+	answer()
+	nodes[1].elapse(500 * time.Millisecond)
+	again := nodes[1].takeRuns()
+	if len(again) != 1 || again[0].After != 24 {
+		t.Fatalf("runs %v, want one that continues the longer text", again)
+	}
+	sampled.generate(nodes[1], "b", again[0], 1, 8)
+	sampled.check(t, sampled.complete(t, nodes[2], "c", takeOver(t, nodes[2], nodes[1]), 4))
+}
--- a/internal/version/batch/restore.go
+++ b/internal/version/batch/restore.go
@@ -128,6 +128,10 @@
 		}
 		events = append(events, port.ReplicaEvent{ID: generated.Id, Data: generated.Data, Version: generated.Version})
 	}
+	if it.runs > 0 {
+		// Parts of the item's own text are stored, or may be later.
+		it.discardText()
+	}
 	it.events = events
 	o.discardInvalidText(index)
 	it.long = it.long || len(it.events) >= minEventsToMove
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -42,6 +42,8 @@
 	commitHook  func(commit task.Commit) (port.RecordResult, bool)
 	// rangeHook may replace the result of a read; nil allows all reads.
 	rangeHook func(query port.RecordRange) (port.RecordResult, bool)
+	// holdRange may keep a read from being answered; nil answers all reads.
+	holdRange func(read task.Range) bool
 	delayed   []delayedTimer
 	// replicas replaces replica unless nil.
 	replicas *replicaSet
@@ -115,7 +117,9 @@
 			case task.Commit:
 				n.commit(t)
 			case task.Range:
-				t.Done(n.now, n.rangeResult(t.Query))
+				if n.holdRange == nil || !n.holdRange(t) {
+					t.Done(n.now, n.rangeResult(t.Query))
+				}
 			case task.Run:
 				n.runs = append(n.runs, t)
 			case task.ScoringCall:
