Jobs are started by their owner, from what the store holds

- A submission whose answer comes after another node has taken the job over started the job all the same.
Both nodes ran its items until the next change of the head record.
- A submission that found the job to exist, with this node as its owner, ran the items of the submission, not those that were accepted, and without the stored texts: a second submission under the id of an accepted job may differ.

Change: startJob starts a job only if its newest head record names this node, and adoptExisting loads the job as after a takeover.

Before: TestLateSubmissionsDoNotStartJobsOfOthers failed with 1 run, TestKnownJobsAreStartedFromTheStore with a run of the other body from event 0. Neither was seen by a client as far as known.

--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -208,15 +208,18 @@
 	}
 }
 
+// adoptExisting applies the head record of a job that was accepted before, and starts the job if this node owns it. Its
+// content is read from the store, as that of this submission may differ.
 func (s *submission) adoptExisting(now time.Time, result port.RecordResult) {
+	j, id := s.jobs, s.job.Id
 	for _, record := range result.Records {
-		if record.Key != s.job.Id || record.Revision == 0 {
+		if record.Key != id || record.Revision == 0 {
 			continue
 		}
-		s.jobs.OnHead(now, record)
-		known := s.jobs.heads[s.job.Id]
-		if known != nil && duplicateOutcome(known.BatchJobHead, s.job) == Applied && s.jobs.isOwner(known.BatchJobHead) && s.jobs.owned[s.job.Id] == nil && !known.Ended {
-			s.jobs.startJob(now, s.job, known.BatchJobHead, known.revision, s.headSentAt, false)
+		j.OnHead(now, record)
+		known := j.heads[id]
+		if known != nil && j.isOwner(known.BatchJobHead) && !known.Ended && !known.complete() && !known.mutating && j.owned[id] == nil {
+			j.loadJob(now, id, known, "")
 		}
 	}
 }
--- a/internal/version/batch/owner.go
+++ b/internal/version/batch/owner.go
@@ -181,9 +181,8 @@
 // or seen to change; former is set if the job may have had another owner before.
 func (j *Jobs) startJob(now time.Time, job *doorstepv1.BatchJob, state *doorstepv1.BatchJobHead, revision int64, headSentAt time.Time, former bool) {
 	j.setHead(now, job.Id, state, revision)
-	if j.owned[job.Id] != nil {
-		// Two submissions of this job were answered out of order, and the job was already
-		// started.
+	if current := j.heads[job.Id]; j.owned[job.Id] != nil || current.Ended || !j.isOwner(current.BatchJobHead) {
+		// The write of the head record was answered late: the job was already started, or has another owner by now.
 		return
 	}
 	j.ownerships++
--- a/internal/version/batch/ownership_test.go
+++ b/internal/version/batch/ownership_test.go
@@ -287,3 +287,64 @@
 	sampled.generate(nodes[1], "b", again[0], 1, 8)
 	sampled.check(t, sampled.complete(t, nodes[2], "c", takeOver(t, nodes[2], nodes[1]), 4))
 }
+
+// TestLateSubmissionsDoNotStartJobsOfOthers guards against a node that runs the items of another owner's job, as its own
+// submission is answered after the takeover.
+func TestLateSubmissionsDoNotStartJobsOfOthers(t *testing.T) {
+	nodes := newNodes("a", "b")
+	var answer func()
+	nodes[0].holdCommit = func(commit task.Commit) bool {
+		if answer != nil {
+			return false
+		}
+		result := nodes[0].store.Commit(nodes[0].now, commit.Transaction)
+		answer = func() { commit.Done(nodes[0].now, result) }
+		return true
+	}
+	outcome := Indeterminate
+	nodes[0].jobs.Accept(nodes[0].now, newJob("j", 1), time.Time{}, func(_ time.Time, got Outcome) { outcome = got })
+	nodes[0].runTasks()
+	takeOver(t, nodes[1], nodes[0])
+	nodes[1].elapse(heartbeatInterval)
+	nodes[0].now = nodes[1].now
+	syncHeads(nodes[0])
+	answer()
+	nodes[0].elapse(200 * time.Millisecond)
+	if owned, runs := nodes[0].jobs.OwnedCount(), len(nodes[0].takeRuns()); outcome != Applied || owned != 0 || runs != 0 {
+		t.Errorf("outcome %d, %d jobs owned, %d runs", outcome, owned, runs)
+	}
+}
+
+// TestKnownJobsAreStartedFromTheStore guards against a job that is started without its stored texts, or with the content
+// of a later submission: the submission finds that the job exists and that this node owns it.
+func TestKnownJobsAreStartedFromTheStore(t *testing.T) {
+	nodes, sampled := newNodes("a", "b"), newSampledRuns()
+	nodes[0].accept(newJob("j", 1))
+	nodes[0].elapse(200 * time.Millisecond)
+	sampled.generate(nodes[0], "a", nodes[0].takeRuns()[0], 3, 8)
+	// The takeover takes effect, but its answer is lost, and the watch is behind.
+	other := nodes[1]
+	other.now = nodes[0].now
+	syncHeads(other)
+	other.commitHook = func(commit task.Commit) (port.RecordResult, bool) {
+		other.store.Commit(other.now, commit.Transaction)
+		return port.RecordResult{Status: port.RecordUnknown}, true
+	}
+	for range 200 {
+		if other.elapse(25 * time.Millisecond); !other.jobs.heads["j"].mutating && !other.jobs.heads["j"].retryAt.IsZero() {
+			break
+		}
+	}
+	other.commitHook = nil
+	delete(other.jobs.heads, "j")
+	again := newJob("j", 1)
+	again.Items[0].Body = []byte("another body")
+	if outcome, _ := other.accept(again); outcome != Applied {
+		t.Fatalf("outcome %d", outcome)
+	}
+	other.elapse(time.Second)
+	runs := other.takeRuns()
+	if len(runs) != 1 || runs[0].After != 24 || string(runs[0].Body) != "b" {
+		t.Errorf("runs %v, want one that continues after event 24 with the body that was accepted", runs)
+	}
+}
--- a/internal/version/batch/testnode_test.go
+++ b/internal/version/batch/testnode_test.go
@@ -42,6 +42,8 @@
 	commitHook  func(commit task.Commit) (port.RecordResult, bool)
 	// rangeHook may replace the result of a read; nil allows all reads.
 	rangeHook func(query port.RecordRange) (port.RecordResult, bool)
+	// holdCommit may keep a commit from being applied and answered; nil passes all commits.
+	holdCommit func(commit task.Commit) bool
 	// holdRange may keep a read from being answered; nil answers all reads.
 	holdRange func(read task.Range) bool
 	delayed   []delayedTimer
@@ -115,7 +117,9 @@
 		for _, queued := range tasks {
 			switch t := queued.(type) {
 			case task.Commit:
-				n.commit(t)
+				if n.holdCommit == nil || !n.holdCommit(t) {
+					n.commit(t)
+				}
 			case task.Range:
 				if n.holdRange == nil || !n.holdRange(t) {
 					t.Done(n.now, n.rangeResult(t.Query))
