Submissions never replace the content of an accepted job

A job of more than 600 KB that is submitted under the ID of an accepted job, at a node that has not heard of it, replaced that job's first chunks before the precondition of its head record failed. The client was told so, rightly; the accepted job could no longer be read, or ran the items of the other submission, which may be of another tenant.

Cause: the leading chunks were written without a precondition.

Change: they are written only while the head record is absent, and under a claim, a record with the digest of the content whose revision all writes of the submission require. Content is read only as far as the head record names it, so that chunks of a submission that was given up don't count.

--- a/internal/version/batch/accept.go
+++ b/internal/version/batch/accept.go
@@ -56,11 +56,15 @@
 
 // submission is one client request to submit a job, including its retries.
 type submission struct {
-	jobs          *Jobs
-	job           *doorstepv1.BatchJob
-	head          *doorstepv1.BatchJobHead
-	leadingChunks [][]port.Record
-	finalChunks   []port.Record
+	jobs *Jobs
+	job  *doorstepv1.BatchJob
+	head *doorstepv1.BatchJobHead
+	// leadingChunks are the chunks by transaction that precede the final one, leadingWritten the number of these
+	// transactions that were applied. claim is nil if there are none.
+	leadingChunks  [][]port.Record
+	leadingWritten int
+	claim          *contentClaim
+	finalChunks    []port.Record
 	// headSentAt is when the head record was last sent to the store.
 	headSentAt time.Time
 	retries    callRetries
@@ -68,8 +72,7 @@
 }
 
 // Accept stores a job and assigns its owner. The client waits until the deadline, zero if unknown.
-// Content that does not fit into the final transaction is written first: it is identical on every
-// retry and unreferenced until the head record exists.
+// Content that does not fit into the final transaction is written first, under a claim.
 func (j *Jobs) Accept(now time.Time, job *doorstepv1.BatchJob, deadline time.Time, done func(now time.Time, outcome Outcome)) {
 	if known := j.heads[job.Id]; known != nil {
 		outcome := duplicateOutcome(known.BatchJobHead, job)
@@ -113,6 +116,9 @@
 		records = records[perTransaction:]
 	}
 	s.finalChunks = records
+	if len(s.leadingChunks) > 0 {
+		s.claim = newContentClaim(content)
+	}
 	s.head.MinVersion = job.MinVersion
 	s.head.LongestEvents = int32(j.longestEvents(job))
 	j.atDeadline(now, deadline, func(now time.Time) { s.finish(now, s.retries.failure()) })
@@ -158,17 +164,8 @@
 		return
 	}
 	s.headSentAt = now
-	if len(s.leadingChunks) > 0 {
-		s.jobs.commit(port.RecordTransaction{Puts: s.leadingChunks[0]}, func(now time.Time, result port.RecordResult) {
-			switch {
-			case s.retries.finished:
-			case result.Status == port.RecordDone:
-				s.leadingChunks = s.leadingChunks[1:]
-				s.submit(now)
-			default:
-				s.retry(now, false)
-			}
-		})
+	if s.leadingWritten < len(s.leadingChunks) {
+		s.jobs.commit(s.leadingTransaction(), s.onLeadingCommit)
 		return
 	}
 	value, err := proto.Marshal(s.head)
@@ -178,7 +175,7 @@
 	key := headKey(s.job.Id)
 	s.retries.writing = true
 	s.jobs.commit(port.RecordTransaction{
-		Preconditions: []port.Precondition{{RecordKey: key}},
+		Preconditions: s.contentPreconditions(),
 		Puts:          append([]port.Record{{RecordKey: key, Value: value}}, s.finalChunks...),
 	}, s.onCommit)
 }
@@ -194,13 +191,7 @@
 		}
 		s.finish(now, Applied)
 	case port.RecordConflict:
-		// Another attempt to submit this job succeeded, possibly from this node.
-		s.adoptExisting(now, result)
-		if known := s.jobs.heads[s.job.Id]; known != nil {
-			s.finish(now, duplicateOutcome(known.BatchJobHead, s.job))
-			return
-		}
-		s.finish(now, Applied)
+		s.onConflict(now, result)
 	case port.RecordUnknown:
 		s.retry(now, true)
 	default:
@@ -208,6 +199,26 @@
 	}
 }
 
+// onConflict finishes a submission of a job that exists, as another attempt to submit it succeeded, possibly from this
+// node. Otherwise the claim has changed, and all chunks are written again.
+func (s *submission) onConflict(now time.Time, result port.RecordResult) {
+	exists := slices.ContainsFunc(result.Records, func(record port.Record) bool {
+		return record.RecordKey == headKey(s.job.Id) && record.Revision > 0
+	})
+	if s.claim != nil && !exists {
+		s.claim.update(s.job.Id, result)
+		s.leadingWritten = 0
+		s.retry(now, false)
+		return
+	}
+	s.adoptExisting(now, result)
+	if known := s.jobs.heads[s.job.Id]; known != nil {
+		s.finish(now, duplicateOutcome(known.BatchJobHead, s.job))
+		return
+	}
+	s.finish(now, Applied)
+}
+
 // adoptExisting applies the head record of a job that was accepted before, and starts the job if this node owns it. Its
 // content is read from the store, as that of this submission may differ.
 func (s *submission) adoptExisting(now time.Time, result port.RecordResult) {
--- a/internal/version/batch/read.go
+++ b/internal/version/batch/read.go
@@ -74,7 +74,11 @@
 
 // readContent reads a job's content, as long as allowed returns true.
 func (j *Jobs) readContent(now time.Time, id string, allowed func() bool, done func(now time.Time, job *doorstepv1.BatchJob)) {
-	r := &contentReader{jobs: j, id: id, attemptsLeft: maxContentAttempts, from: id + "/m/", allowed: allowed, done: done}
+	r := &contentReader{jobs: j, id: id, attemptsLeft: maxContentAttempts, from: id + "/m/", to: id + "/m/~", allowed: allowed, done: done}
+	if known := j.heads[id]; known != nil && known.Chunks > 0 {
+		// Further chunks are of submissions that were not accepted.
+		r.to = contentKey(id, int(known.Chunks)).Key
+	}
 	r.next(now)
 }
 
@@ -83,8 +87,9 @@
 	jobs         *Jobs
 	id           string
 	attemptsLeft int
-	from         string
-	content      []byte
+	// from and to bound the keys that remain to be read.
+	from, to string
+	content  []byte
 	// allowed reports whether this node may still read the content. It is checked before each
 	// read.
 	allowed func() bool
@@ -97,7 +102,7 @@
 		return
 	}
 	r.jobs.options.Queue.Add(task.Range{
-		Query: port.RecordRange{Table: DataTable, Partition: Partition(r.id), From: r.from, To: r.id + "/m/~"},
+		Query: port.RecordRange{Table: DataTable, Partition: Partition(r.id), From: r.from, To: r.to},
 		Done:  r.onRange,
 	})
 }
