Headers of items do not frame their requests

Cause: callers' headers lose the fields of a connection before they are sent on; those of an item were sent as they are, and upstream added its own Content-Length beside them. A server that reads both takes the chunks.

Change: an item's header loses the fields of a connection, and those that its Connection names, where the run is sent, so that stored jobs are covered. Where the text continues is decided by the node alone. upstream leaves out the caller's fields that would contradict the framing and the host that it writes.

--- a/internal/connection/upstream/upstream.go
+++ b/internal/connection/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"sync"
@@ -84,7 +85,8 @@
 type Call struct {
 	// Address is the replica's host:port.
 	Address string
-	// Method, Target, Host, Header and Body are sent as they are.
+	// Method, Target, Host, Header and Body are sent as they are, without those fields of Header that frame or route
+	// the request: they follow from Host and Body.
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
@@ -255,7 +257,7 @@
 func write(conn *connection, call *Call) (*upload, error) {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
-	if err := call.Header.Write(&head); err != nil {
+	if err := call.Header.WriteSubset(&head, framingFields(call.Header)); err != nil {
 		return nil, err
 	}
 	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut {
@@ -278,6 +280,19 @@
 	return started, nil
 }
 
+// framingFields returns those fields of a header that would contradict the request's own framing and host, whatever the
+// case of their names.
+func framingFields(header http.Header) map[string]bool {
+	fields := map[string]bool{}
+	for name := range header {
+		switch textproto.CanonicalMIMEHeaderKey(name) {
+		case "Host", "Content-Length", "Transfer-Encoding", "Trailer":
+			fields[name] = true
+		}
+	}
+	return fields
+}
+
 // Read implements io.Reader for the body. It returns io.EOF only if the body was received completely.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -19,12 +19,6 @@
 	"github.com/doorstep/doorstep/internal/request/relay"
 )
 
-// connectionHeaders are the hop-by-hop headers, which are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 // attempt is the result of sending a request to one replica.
 type attempt struct {
 	endpoint *endpoint.Endpoint
@@ -252,19 +246,6 @@
 	return r.URL.RequestURI()
 }
 
-// dropConnectionHeaders removes hop-by-hop headers, including those listed in the
-// Connection header.
-func dropConnectionHeaders(header http.Header) {
-	for _, named := range header.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
-}
-
 func errorOutcome(err error) relay.Outcome {
 	var failed *upstream.Error
 	switch {
--- a/internal/process/agent/run.go
+++ b/internal/process/agent/run.go
@@ -38,14 +38,7 @@
 }
 
 func (a *Agent) stream(ctx context.Context, cancel context.CancelFunc, t task.Run) task.RunResult {
-	header := t.Header
-	a.protocol.SetRequestID(header, t.Item)
-	a.protocol.SetReplicaAndDeadline(header, t.Replica, t.Limit)
-	a.setTenantHeader(header, a.jobCaller(t.Tenant))
-	a.protocol.SetPriority(header, t.Priority)
-	if t.After > 0 {
-		a.protocol.SetLastEvent(header, strconv.FormatInt(t.After, 10))
-	}
+	header := a.itemHeader(t)
 	eventTimeout := time.AfterFunc(t.FirstEventTimeout, cancel)
 	defer eventTimeout.Stop()
 	startedAt := time.Now()
@@ -107,6 +100,22 @@
 	}
 }
 
+// itemHeader returns the header with which an item's run is sent: what the item holds for its replica, and what this node
+// decides in its place.
+func (a *Agent) itemHeader(t task.Run) http.Header {
+	header := t.Header
+	dropConnectionHeaders(header)
+	a.protocol.SetRequestID(header, t.Item)
+	a.protocol.SetReplicaAndDeadline(header, t.Replica, t.Limit)
+	a.setTenantHeader(header, a.jobCaller(t.Tenant))
+	a.protocol.SetPriority(header, t.Priority)
+	a.protocol.SetLastEvent(header, "")
+	if t.After > 0 {
+		a.protocol.SetLastEvent(header, strconv.FormatInt(t.After, 10))
+	}
+	return header
+}
+
 // reportProgress reports a run's events to the node, and returns whether to stop the run because
 // it is too slow.
 func (a *Agent) reportProgress(t task.Run, events []port.ReplicaEvent, pace time.Duration) bool {
