A caller's Connection field does not remove what the node needs

A request whose Connection names X-Attempt-Id reached replicas without its ID, which no replica runs: 502 after all attempts. A stream whose Connection names Last-Event-Id was sent without it, while the node expected the events behind it, and took its beginning for a gap.

Change: the exchange keeps the header without the fields of the connection, and reads all that it decides from it; the ID is set as for items.

--- a/internal/process/agent/cold.go
+++ b/internal/process/agent/cold.go
@@ -34,7 +34,7 @@
 	var timeout time.Duration
 	x.agent.do(func(now time.Time) {
 		timeout = claimTimeout(x.agent.node.Latency(), x.relay.Remaining(time.Now()))
-		claimed = x.agent.node.ClaimCold(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), x.exclude,
+		claimed = x.agent.node.ClaimCold(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.header), x.exclude,
 			func() bool { return !abandoned && x.request.Context().Err() == nil },
 			func(now time.Time, found *endpoint.Endpoint, retryAfter time.Duration) {
 				if abandoned {
--- a/internal/process/agent/exchange.go
+++ b/internal/process/agent/exchange.go
@@ -35,10 +35,12 @@
 type exchange struct {
 	agent   *Agent
 	request *http.Request
-	route   *port.Route
-	caller  access.Caller
-	id      string
-	body    []byte
+	// header is that of the request without the fields that concern the caller's connection.
+	header http.Header
+	route  *port.Route
+	caller access.Caller
+	id     string
+	body   []byte
 	// identity identifies the request to the quarantine; it is the same for each retry.
 	identity quarantine.Request
 	// onTrial permits a quarantined request to be sent to one replica.
@@ -60,12 +62,14 @@
 // newExchange returns the exchange of a request. The caller's time counts from its arrival, before its body was read.
 func (a *Agent) newExchange(r *http.Request, arrivedAt time.Time, route *port.Route, caller access.Caller, id string, body []byte) *exchange {
 	timeout, _ := a.protocol.Deadline(r.Header)
+	header := r.Header.Clone()
+	dropConnectionHeaders(header)
 	a.mu.Lock()
 	expected := a.node.ResponseTimes().Of(route.Name)
 	a.mu.Unlock()
 	call := quarantine.Call{Method: r.Method, Host: r.Host, Target: target(r), Tenant: caller.Tenant, Body: body}
 	return &exchange{
-		agent: a, request: r, route: route, caller: caller, id: id, body: body, relay: relay.New(arrivedAt, route, timeout, expected),
+		agent: a, request: r, header: header, route: route, caller: caller, id: id, body: body, relay: relay.New(arrivedAt, route, timeout, expected),
 		identity: quarantine.Request{Fingerprint: call.Fingerprint(), Route: route.Name, Tenant: caller.Tenant},
 		buffers:  a.newResponseBuffers(),
 		exclude:  map[string]bool{}, attempts: make(chan *attempt, max(route.MaxAttempts, 1)), started: a.clock.Now(),
@@ -94,7 +98,7 @@
 		if quarantined {
 			return
 		}
-		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.request.Header), cluster.Attempt{
+		chosen = x.agent.node.Choose(now, x.route, x.caller.Tenant, x.agent.protocol.Model(x.header), cluster.Attempt{
 			Exclude: x.exclude, Hedge: x.relay.Pending(),
 		})
 		x.recordChoice(now, chosen)
@@ -227,8 +231,8 @@
 }
 
 func (x *exchange) newCall(chosen *endpoint.Endpoint, left time.Duration) *upstream.Call {
-	header := x.request.Header.Clone()
-	dropConnectionHeaders(header)
+	header := x.header.Clone()
+	x.agent.protocol.SetRequestID(header, x.id)
 	x.agent.setTenantHeader(header, x.caller)
 	x.agent.protocol.SetReplicaAndDeadline(header, chosen.ID, left)
 	x.agent.protocol.SetPriority(header, x.route.Priority)
--- a/internal/process/agent/stream.go
+++ b/internal/process/agent/stream.go
@@ -41,7 +41,7 @@
 		return
 	}
 	s := &relayedStream{exchange: x, writer: w, control: http.NewResponseController(w)}
-	s.last, _ = strconv.ParseInt(a.protocol.LastEvent(x.request.Header), 10, 64)
+	s.last, _ = strconv.ParseInt(a.protocol.LastEvent(x.header), 10, 64)
 	defer x.buffers.end()
 	clientCtx := x.request.Context()
 	defer a.followReplicas(clientCtx, x.route)()
