Simulator: owners that the store refuses, and texts by their runs

- Each event names the run that generated it, and texts-unmixed checks that each run that continues a text was asked to do so, after the event before.
- owner-refused: the store refuses an owner's calls; then it serves all but its reads of texts, and the nodes that took its jobs over are killed.

--- a/internal/command/simulator/simulator.go
+++ b/internal/command/simulator/simulator.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,7 +78,7 @@
 		Usage: "list the kinds of faults",
 		Action: func(_ context.Context, c *cli.Command) error {
 			table := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
-			for _, fault := range clustersim.Faults {
+			for _, fault := range slices.Concat(clustersim.Faults, clustersim.OptionalFaults) {
 				fmt.Fprintf(table, "%s\t%s\n", fault.Name, fault.Description)
 			}
 			return table.Flush()
--- a/internal/simulation/clustersim/check.go
+++ b/internal/simulation/clustersim/check.go
@@ -8,7 +8,6 @@
 
 	doorstepv1 "github.com/doorstep/doorstep/api/doorstep/v1"
 	"github.com/doorstep/doorstep/internal/port"
-	"github.com/doorstep/doorstep/internal/standin/model"
 )
 
 const (
@@ -85,6 +84,7 @@
 	evacuations    evacuations
 	allowedRegions allowedRegionsHistory
 	placement      placementChecker
+	textRuns       textRuns
 	incarnations   int
 	resultCount    int
 	orderCount     int
@@ -233,20 +233,16 @@
 		}
 		return
 	}
-	lines := strings.Split(result.Message, "\n")
-	if int64(len(lines)) != model.ItemEvents(result.Id) {
-		c.reportViolation(w, "results-true", "%s has %d of %d events", result.Id, len(lines), model.ItemEvents(result.Id))
+	events, err := parseText(result)
+	if err != nil {
+		c.reportViolation(w, "results-true", "%s: %s", result.Id, err)
 		return
 	}
+	c.checkTextRuns(w, result.Id, events)
 	var versions []int64
 	var version int64
-	for i, line := range lines {
-		text, after, _ := strings.Cut(line, "@")
-		_, err := fmt.Sscan(after, &version)
-		if err != nil || text != model.ItemEvent(result.Id, int64(i+1)) {
-			c.reportViolation(w, "results-true", "%s: event %d is %q", result.Id, i+1, line)
-			return
-		}
+	for _, generated := range events {
+		version = generated.version
 		if !slices.Contains(versions, version) {
 			versions = append(versions, version)
 		}
--- a/internal/simulation/clustersim/clustersim_test.go
+++ b/internal/simulation/clustersim/clustersim_test.go
@@ -48,7 +48,7 @@
 }
 
 func TestEachFaultAlone(t *testing.T) {
-	for i, fault := range Faults {
+	for i, fault := range slices.Concat(Faults, OptionalFaults) {
 		t.Run(fault.Name, func(t *testing.T) {
 			t.Parallel()
 			seed := uint64(100 + i)
@@ -81,6 +81,26 @@
 	}
 }
 
+// TestTextsOfRefusedOwners guards against texts of two ownerships of a job that are combined: the store refuses an owner's
+// calls, and serves it again while it cannot read what it stored.
+func TestTextsOfRefusedOwners(t *testing.T) {
+	for names, seeds := range map[string][]uint64{
+		"owner-refused,store-loses":                 {1, 2, 3, 4, 47, 65},
+		"owner-refused,replica-breaks,replica-slow": {1, 2, 3, 4, 77, 85},
+	} {
+		faults, err := ParseFaults(names)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, seed := range seeds {
+			t.Run(names, func(t *testing.T) {
+				t.Parallel()
+				reportViolations(t, seed, simulate(seed, faults))
+			})
+		}
+	}
+}
+
 // TestBystandersOfPoisonItems tests that no request is quarantined and no sound item is abandoned if one item of each
 // job crashes replicas.
 func TestBystandersOfPoisonItems(t *testing.T) {
--- a/internal/simulation/clustersim/fault.go
+++ b/internal/simulation/clustersim/fault.go
@@ -59,30 +59,41 @@
 	{"replica-crash-burst", "half of the replicas crash and are replaced, several times within two seconds", 16 * time.Second, 2 * time.Second, crashReplicasRepeatedly},
 }
 
-// ParseFaults parses a comma-separated list of names, "all" or "none".
+// OptionalFaults lists kinds of faults that "all" does not include, so that it draws the same schedules for existing
+// seeds.
+var OptionalFaults = []Fault{
+	{"owner-refused", "the store refuses the calls of a job's owner, then only its reads of texts, as its successors are killed", 8 * time.Second, 8 * time.Second, refuseOwner},
+}
+
+// ParseFaults parses a comma-separated list of names, "all" or "none". The list may contain "all".
 func ParseFaults(names string) ([]Fault, error) {
-	switch names {
-	case "", "none":
+	if names == "" || names == "none" {
 		return nil, nil
-	case "all":
-		return Faults, nil
 	}
 	var found []Fault
 	for name := range strings.SplitSeq(names, ",") {
-		known := false
-		for _, fault := range Faults {
-			if fault.Name == name {
-				found = append(found, fault)
-				known = true
-			}
+		if name == "all" {
+			found = append(found, Faults...)
+			continue
 		}
+		fault, known := findFault(name)
 		if !known {
 			return nil, fmt.Errorf("unknown fault %q", name)
 		}
+		found = append(found, fault)
 	}
 	return found, nil
 }
 
+func findFault(name string) (Fault, bool) {
+	for _, fault := range slices.Concat(Faults, OptionalFaults) {
+		if fault.Name == name {
+			return fault, true
+		}
+	}
+	return Fault{}, false
+}
+
 func (w *World) scheduleFaults() {
 	for _, fault := range w.options.Faults {
 		var next func()
@@ -164,6 +175,31 @@
 	})
 }
 
+// refuseOwner makes the store refuse the calls of a job's owner. Half of the duration later it is served again, but for its
+// reads of texts, and the nodes that took its jobs over are killed: it gets jobs back without what it stored.
+func refuseOwner(w *World, duration time.Duration) {
+	jobs := w.owners.ownedJobs()
+	if len(jobs) == 0 {
+		return
+	}
+	n := w.owners.current[jobs[w.random.IntN(len(jobs))]].node
+	jobs = slices.DeleteFunc(jobs, func(job string) bool { return w.owners.current[job].node != n })
+	n.storeRefusals++
+	w.After(duration/2, func() {
+		n.storeRefusals--
+		n.textRefusals++
+		for _, job := range jobs {
+			if taken := w.owners.current[job].node; taken != n {
+				taken.kill(duration / 2)
+			}
+		}
+	})
+	w.After(duration, func() {
+		n.textRefusals--
+		n.recordFault(w.Now)
+	})
+}
+
 func slowReplica(w *World, duration time.Duration) {
 	r := w.randomReplica()
 	more := 1 + w.random.IntN(3)
--- a/internal/simulation/clustersim/region.go
+++ b/internal/simulation/clustersim/region.go
@@ -1,6 +1,8 @@
 package clustersim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/process/event"
@@ -157,6 +159,18 @@
 	o.current[job] = ownership{node: n, incarnation: n.incarnation, since: o.world.Now}
 }
 
+// ownedJobs returns the sorted IDs of the jobs that a node owns, in the incarnation that took or got them.
+func (o *ownershipTracker) ownedJobs() []string {
+	var jobs []string
+	for _, job := range slices.Sorted(maps.Keys(o.current)) {
+		owner := o.current[job]
+		if state, known := owner.node.node.Jobs().Lookup(job); owner.node.up && owner.incarnation == owner.node.incarnation && known && !state.Ended && state.Listed < state.Total {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
 // checkTakeover checks that a job was not taken over from an owner that could reach the store.
 func (o *ownershipTracker) checkTakeover(newOwner *node, former, job string) {
 	w, previous := o.world, o.current[job]
--- a/internal/simulation/clustersim/replica.go
+++ b/internal/simulation/clustersim/replica.go
@@ -160,16 +160,18 @@
 	incarnation uint64
 	replica     *replica
 	model       string
-	events      []port.ReplicaEvent
-	ended       bool
-	reported    int
-	sentAt      time.Time
+	// number identifies the run among all runs.
+	number   int
+	events   []port.ReplicaEvent
+	ended    bool
+	reported int
+	sentAt   time.Time
 	// crashed is set if the replica ended during the run.
 	crashed bool
 }
 
 func (w *World) startRun(n *node, incarnation uint64, t task.Run) {
-	run := &itemRun{task: t, node: n, incarnation: incarnation, sentAt: w.Now, replica: w.replicaAt(t.Address), model: t.Header.Get("model")}
+	run := &itemRun{task: t, node: n, incarnation: incarnation, number: w.check.textRuns.begin(t.After), sentAt: w.Now, replica: w.replicaAt(t.Address), model: t.Header.Get("model")}
 	n.runs[t.ID] = run
 	if run.replica != nil && run.replica.ID == t.Replica {
 		w.check.checkAllowedRegions(w, n, w.check.itemJobs[t.Item], "", t.Item, run.replica.zone)
@@ -251,7 +253,7 @@
 			return
 		}
 		version := r.Version(w.Now, run.model)
-		run.events = append(run.events, port.ReplicaEvent{ID: id, Version: version, Data: expectedEvent(run.task.Item, id, version)})
+		run.events = append(run.events, port.ReplicaEvent{ID: id, Version: version, Data: expectedEvent(run.task.Item, id, version, run.number)})
 		if id >= model.ItemEvents(run.task.Item) {
 			w.check.recordCompletion(w, run.task.Item, version)
 			run.end(task.RunCompleted)
--- a/internal/simulation/clustersim/store.go
+++ b/internal/simulation/clustersim/store.go
@@ -1,6 +1,7 @@
 package clustersim
 
 import (
+	"strings"
 	"time"
 
 	"github.com/doorstep/doorstep/internal/port"
@@ -58,7 +59,10 @@
 	return n.storeCuts > 0 || s.silent > 0 || s.partial > 0 && s.world.random.IntN(3) == 0
 }
 
-func (s *store) refused() bool { return s.refusing > 0 && s.world.random.IntN(4) > 0 }
+// refuses reports whether the store refuses a node's call.
+func (s *store) refuses(n *node) bool {
+	return n.storeRefusals > 0 || s.refusing > 0 && s.world.random.IntN(4) > 0
+}
 
 // call makes one call. A call that times out takes effect all the same if it reaches the store.
 func (s *store) call(n *node, timeout time.Duration, perform func(now time.Time) port.RecordResult, done func(result port.RecordResult)) {
@@ -74,7 +78,7 @@
 	if s.unreachable(n) {
 		return
 	}
-	if s.refused() {
+	if s.refuses(n) {
 		w.After(callLatency, func() { answer(port.RecordResult{Status: port.RecordRefused}) })
 		return
 	}
@@ -93,6 +97,16 @@
 	})
 }
 
+// readRange makes a read call, which is refused if the store refuses the node's reads of texts.
+func (s *store) readRange(n *node, query port.RecordRange, done func(result port.RecordResult)) {
+	s.read(n, func(now time.Time) port.RecordResult {
+		if n.textRefusals > 0 && strings.Contains(query.From, "/t/") {
+			return port.RecordResult{Status: port.RecordRefused}
+		}
+		return s.records.Range(now, query)
+	}, done)
+}
+
 func (s *store) read(n *node, perform func(now time.Time) port.RecordResult, done func(result port.RecordResult)) {
 	s.call(n, callTimeout, func(now time.Time) port.RecordResult {
 		countCall(s.reads, now)
--- a/internal/simulation/clustersim/usage.go
+++ b/internal/simulation/clustersim/usage.go
@@ -159,7 +159,7 @@
 	w := p.world
 	calm := w.store.stable(w.Now) && p.losing == 0
 	for _, n := range w.nodes {
-		calm = calm && n.up && !n.stopping && n.storeCuts == 0 && !w.Now.Before(n.frozenUntil) && !w.link.degraded(n.zone)
+		calm = calm && n.up && !n.stopping && n.servedByStore() && !w.Now.Before(n.frozenUntil) && !w.link.degraded(n.zone)
 	}
 	return calm
 }
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -29,7 +29,7 @@
 go build -o "$scratch/clean" ./cmd/doorstep-sim
 prove 1-positions positions-fixed 1..250 store-loses,store-partly,store-slow
 prove 2-versions versions-true 1..20 all
-prove 3-texts results-true 1..200 all
+prove 3-texts texts-unmixed 1..200 node-kill,replica-breaks
 prove 4-refusals refusals-true 1..20 store-loses,store-refusing,store-silent
 prove 5-nothing-lost nothing-lost 1..10 store-silent,store-slow
 prove 6-ends ends-respected 1..40 all
@@ -50,4 +50,5 @@
 prove 21-sound-owner sound-owner-kept 1..60 region-slow
 prove 22-owners-follow-replicas drains-respected 1..20 replica-drains --resting
 prove 23-first-orders versions-rise 500001..500200 replica-restart,orders-late
+prove 24-ownerships texts-unmixed 1..100 owner-refused,store-loses
 exit $failed
