A failed read of stored texts is repeated while items wait for it

Change: a failed read is repeated from where it failed until that time is over, if the node may still own the job.

Before: TestFailedReadsOfTextsAreRetried failed (the run continues after event 0, want 24).

--- a/internal/version/batch/ownership_test.go
+++ b/internal/version/batch/ownership_test.go
@@ -348,3 +348,21 @@
 		t.Errorf("runs %v, want one that continues after event 24 with the body that was accepted", runs)
 	}
 }
+
+// TestFailedReadsOfTextsAreRetried guards against texts that are generated again because a single read of them failed.
+func TestFailedReadsOfTextsAreRetried(t *testing.T) {
+	nodes, sampled := newNodes("a", "b"), newSampledRuns()
+	nodes[0].accept(newJob("j", 1))
+	nodes[0].elapse(200 * time.Millisecond)
+	sampled.generate(nodes[0], "a", nodes[0].takeRuns()[0], 3, 8)
+	reads := 0
+	nodes[1].rangeHook = func(query port.RecordRange) (port.RecordResult, bool) {
+		if isTextRead(query) {
+			reads++
+		}
+		return port.RecordResult{Status: port.RecordRefused}, isTextRead(query) && reads <= 2
+	}
+	if run := takeOver(t, nodes[1], nodes[0]); run.After != 24 {
+		t.Errorf("the run continues after event %d, want 24", run.After)
+	}
+}
--- a/internal/version/batch/restore.go
+++ b/internal/version/batch/restore.go
@@ -31,9 +31,14 @@
 				return
 			}
 			records = append(records, result.Records...)
-			if result.Status == port.RecordDone && result.More && now.Before(o.startAfter) && o.jobs.mayOwn(o.head.BatchJobHead) {
+			mayRead := o.jobs.mayOwn(o.head.BatchJobHead)
+			switch {
+			case mayRead && result.Status == port.RecordDone && result.More && now.Before(o.startAfter):
 				o.readCheckpointsFrom(records[len(records)-1].Key+"\x00", records)
 				return
+			case mayRead && result.Status != port.RecordDone && now.Add(initialBackoff).Before(o.startAfter):
+				o.jobs.retryAfter(initialBackoff, func(time.Time) { o.retryCheckpoints(from, records) })
+				return
 			}
 			o.startAfter = now
 			o.restoreTexts(now, records, result.Status == port.RecordDone && !result.More)
@@ -42,6 +47,13 @@
 	})
 }
 
+// retryCheckpoints reads checkpoints again after a failed read. Without a retry, items start at startAfter.
+func (o *ownedJob) retryCheckpoints(from string, records []port.Record) {
+	if o.jobs.owned[o.id] == o && o.jobs.mayOwn(o.head.BatchJobHead) {
+		o.readCheckpointsFrom(from, records)
+	}
+}
+
 // storedText is an item's text as stored by one of the job's owners.
 type storedText struct {
 	checkpointPrefix
