A text that goes on after a check of its end is not of two runs

A run that finds no event behind the last one is followed by a run that generates the last event again. If that one goes on, its events were appended behind the former last event: the text continued after event n with a run that had been asked for the events after n - 1, where rule ORDER asks for n.

Change: the last event is replaced by that of the run that goes on, under a new generation, as the former one is stored already.

Before: TestTextsThatGoOnAfterACheckDoNotMix failed (event 9 is of run 3, which was asked for events after 7).

--- a/internal/version/batch/ownership_test.go
+++ b/internal/version/batch/ownership_test.go
@@ -366,3 +366,22 @@
 		t.Errorf("the run continues after event %d, want 24", run.After)
 	}
 }
+
+// TestTextsThatGoOnAfterACheckDoNotMix guards against a text that goes on, behind an event of one run, with another run
+// that was asked for events from that one on: the end of the text had to be checked, and was none.
+func TestTextsThatGoOnAfterACheckDoNotMix(t *testing.T) {
+	nodes, sampled := newNodes("a", "b"), newSampledRuns()
+	n := nodes[0]
+	n.accept(newJob("j", 1))
+	n.elapse(200 * time.Millisecond)
+	first := n.takeRuns()[0]
+	sampled.generate(n, "a", first, 1, 8)
+	end := func(run task.Run, outcome task.RunOutcome, count int) {
+		run.Done(n.now, task.RunResult{Outcome: outcome, Events: sampled.events("a", run, count)})
+		n.elapse(2 * checkpointInterval)
+	}
+	end(first, task.RunInterrupted, 8)
+	end(n.takeRuns()[0], task.RunCompleted, 0)
+	end(n.takeRuns()[0], task.RunInterrupted, 5)
+	sampled.check(t, sampled.complete(t, nodes[1], "b", takeOver(t, nodes[1], n), 4))
+}
--- a/internal/version/batch/text.go
+++ b/internal/version/batch/text.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -163,13 +164,17 @@
 	sound := result.Outcome != task.RunTooLong
 	if i.checkingEnd && sound {
 		switch {
-		case len(events) > 0:
+		case len(events) > 1:
+			// The text goes on. Its last event is replaced, as only the run that generated it may continue from there.
+			text := append(slices.Clone(i.events[:len(i.events)-1]), events...)
+			i.discardText()
+			i.events = text
+			return true
+		case len(events) == 1:
 			// Its data is not compared, because replicas may generate different data.
 			i.checkingEnd = false
-			events = events[1:]
-			if len(events) == 0 {
-				result.Outcome = task.RunCompleted
-			}
+			events = nil
+			result.Outcome = task.RunCompleted
 		case result.Outcome == task.RunCompleted:
 			sound = false
 		}
