Soak: the store refuses single nodes, and texts are checked by their runs

As in the simulator: the store refuses one node's calls while it serves others, then its reads of texts, and the other nodes are killed, so that a running node gets jobs back without what it stored. Each node reaches the store by a gate of its own for that. Events name the run that generated them, and a text that a run continues without being asked to is a violation.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,6 +28,8 @@
 	// completedItems holds the items whose last event was generated, failed the number of failures by request.
 	completedItems map[string]bool
 	failed         map[string]int
+	// Runs numbers the runs of texts at replicas.
+	Runs *platformtest.TextRuns
 }
 
 // jobRecord holds the observations of an accepted job.
@@ -44,7 +46,7 @@
 	return &Checker{
 		runs: map[string]int{}, notRun: map[string]string{}, nonIdempotent: map[string]bool{}, refused: map[string]string{},
 		jobs: map[string]*jobRecord{}, fences: map[int64]string{}, counts: map[string]int{},
-		completedItems: map[string]bool{}, failed: map[string]int{},
+		completedItems: map[string]bool{}, failed: map[string]int{}, Runs: &platformtest.TextRuns{},
 	}
 }
 
@@ -278,7 +280,7 @@
 		}
 		return
 	}
-	versions, err := eventVersions(result)
+	versions, err := eventVersions(result, c.Runs)
 	if err != nil {
 		c.addViolation("job %s: item %s: %s", record.job.ID, result.ID, err)
 		return
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -17,14 +17,26 @@
 
 var scoredJob = platformtest.Job{ID: "j", Items: 2, MinVersion: 2, Scored: true}
 
+// text returns the text of an item that run 0 generated.
 func text(item string, version int64) string {
 	var events []string
 	for id := int64(1); id <= model.ItemEvents(item); id++ {
-		events = append(events, platformtest.VersionedEvent(item, id, version))
+		events = append(events, platformtest.SampledEvent(item, id, version, 0))
 	}
 	return strings.Join(events, "\n")
 }
 
+// continuedResult returns the result of an item whose events after the given one are of run 1.
+func continuedResult(item string, after int64) platformtest.Result {
+	changed := result(item, 2)
+	events := strings.Split(changed.Message, "\n")
+	for id := after + 1; id <= int64(len(events)); id++ {
+		events[id-1] = platformtest.SampledEvent(item, id, 2, 1)
+	}
+	changed.Message = strings.Join(events, "\n")
+	return changed
+}
+
 func result(item string, version int64) platformtest.Result {
 	return platformtest.Result{ID: item, State: platformtest.Completed, Message: text(item, version), Versions: []int64{version}}
 }
@@ -61,6 +73,14 @@
 			c.RecordRead("j", 0, platformtest.ResultsPage{Total: 2, Results: []platformtest.Result{result("j-0", 2), result("j-1", 3)}})
 			c.RecordRead("j", 1, platformtest.ResultsPage{Total: 2, Results: []platformtest.Result{result("j-1", 3)}})
 		}},
+		{"a run continues where it was asked to", "", func(c *Checker) {
+			c.RecordAccepted(job, acceptedAt)
+			c.RecordRead("j", 0, platformtest.ResultsPage{Total: 2, Results: []platformtest.Result{continuedResult("j-0", 3)}})
+		}},
+		{"a run continues elsewhere", "event 3 is of run 1, which was asked to continue after event 3", func(c *Checker) {
+			c.RecordAccepted(job, acceptedAt)
+			c.RecordRead("j", 0, platformtest.ResultsPage{Total: 2, Results: []platformtest.Result{continuedResult("j-0", 2)}})
+		}},
 		{"position changed", "position 0 changed", func(c *Checker) {
 			c.RecordAccepted(job, acceptedAt)
 			c.RecordRead("j", 0, platformtest.ResultsPage{Total: 2, Results: []platformtest.Result{result("j-0", 2)}})
@@ -141,6 +161,8 @@
 		}},
 	} {
 		checker := NewChecker()
+		checker.Runs.Begin(0)
+		checker.Runs.Begin(3)
 		c.observe(checker)
 		seen := strings.Join(checker.Violations(), "; ")
 		if c.wantViolation == "" && seen != "" || c.wantViolation != "" && !strings.Contains(seen, c.wantViolation) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,8 +49,6 @@
 	restricted restrictedRequests
 	regionLink interRegionLink
 	store      *platformtest.Store
-	server     *http.Server
-	storeAddr  string
 	// duties is the platform's service for calls that only one node at a time may make.
 	duties        *platformtest.Duties
 	dutiesServer  *http.Server
@@ -77,8 +75,10 @@
 	zone     string
 	process  *Process
 	settings string
-	// toStore is the link to the store, toClients the link from the clients.
+	// toStore is the link to the store, toClients the link from the clients. gate is the store's end of toStore.
 	toStore, toClients *Proxy
+	gate               *platformtest.StoreGate
+	gateServer         *http.Server
 	address            string
 	// startMu prevents concurrent starts, which would leave a process running after the test.
 	startMu sync.Mutex
@@ -116,7 +116,13 @@
 	regions := make(chan int, 1)
 	go func() { regions <- s.injectRegionFaults(ctx) }()
 	evacuated := s.startEvacuations(ctx)
+	refusals := make(chan struct{})
+	go func() {
+		defer close(refusals)
+		s.injectRefusals(ctx)
+	}()
 	faults := s.injectFaults(ctx)
+	<-refusals
 	faults["evacuations"] = evacuated()
 	if count := <-regions; count > 0 {
 		faults["regions"] = count
@@ -145,13 +151,6 @@
 		return err
 	}
 	s.store = platformtest.NewStore()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	s.storeAddr = listener.Addr().String()
-	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
-	go func() { _ = s.server.Serve(listener) }()
 	s.duties = &platformtest.Duties{}
 	dutiesListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -213,7 +212,7 @@
 	link := &Proxy{Direction: s.replicaDirection(zone)}
 	cold := &coldReplica{id: id, link: link}
 	cfg := platformtest.ReplicaConfig{
-		ID: id, Service: service, Model: model, Zone: zone, Version: s.targetVersion.Load(), VersionInEvents: true, EventInterval: 15 * time.Millisecond,
+		ID: id, Service: service, Model: model, Zone: zone, Version: s.targetVersion.Load(), Runs: s.checker.Runs, EventInterval: 15 * time.Millisecond,
 		MapAddress: func(address string) string {
 			if link.Target != "" {
 				return link.listener.Addr().String()
@@ -255,8 +254,15 @@
 
 func (s *Soak) addNode(name string) error {
 	zone := zones[len(s.nodes)%len(zones)]
-	toStore := &Proxy{Target: s.storeAddr, Direction: func(net.Conn) direction { return s.directionBetween(zone, nearZone) }}
-	n := &node{name: name, zone: zone, toStore: toStore, settings: filepath.Join(s.Dir, name+".yaml")}
+	gate := &platformtest.StoreGate{Store: s.store}
+	gateListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	gateServer := &http.Server{Handler: gate, ReadHeaderTimeout: time.Minute}
+	go func() { _ = gateServer.Serve(gateListener) }()
+	toStore := &Proxy{Target: gateListener.Addr().String(), Direction: func(net.Conn) direction { return s.directionBetween(zone, nearZone) }}
+	n := &node{name: name, zone: zone, toStore: toStore, gate: gate, gateServer: gateServer, settings: filepath.Join(s.Dir, name+".yaml")}
 	var addresses [3]string
 	for i := range addresses {
 		address, err := platformtest.FreeAddress()
@@ -340,6 +346,8 @@
 	s.store.DelayCommits.Store(false)
 	s.store.AddedLatency.Store(0)
 	for _, n := range s.nodes {
+		n.gate.Refusing.Store(false)
+		n.gate.RefusedReads.Store(nil)
 		for _, link := range []*Proxy{n.toStore, n.toClients} {
 			link.SetMode(LinkOpen)
 			link.SetDelay(0)
@@ -391,6 +399,7 @@
 			n.process.Kill()
 		}
 		n.toStore.Close()
+		_ = n.gateServer.Close()
 		n.toClients.Close()
 		_ = n.process.Log.Close()
 	}
@@ -398,9 +407,6 @@
 		r.Stop()
 		r.link.Close()
 	}
-	if s.server != nil {
-		_ = s.server.Close()
-	}
 	if s.dutiesServer != nil {
 		_ = s.dutiesServer.Close()
 	}
