--- a/internal/version/batch/contentclaim.go
+++ b/internal/version/batch/contentclaim.go
@@ -8,13 +8,10 @@
 	"github.com/doorstep/doorstep/internal/port"
 )
 
-// contentClaim reserves a job ID for one content while the chunks that don't fit into the transaction of the head record
-// are written. Without it, a submission could replace chunks of a job that was accepted, or is being submitted at another
-// node, under the same ID.
-//
-// The claim is a record with the digest of the content: each write of chunks, and that of the head record, requires its
-// revision. Submissions of the same content share it, and one of another content replaces it, so that only the last
-// content can be accepted.
+// contentClaim reserves a job ID for one content while its leading chunks are written, so that submissions of other content
+// under the same ID can't replace or mix them. It is a record with the content's digest, whose revision each write of the
+// submission requires. Submissions of the same content share it; one of other content replaces it, and the former ones
+// fail.
 type contentClaim struct {
 	digest []byte
 	// revision is that of the claim's record; 0 if it is absent.
